--- /dev/null
+++ b/cmd/endivewalk/run.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	kitlog "github.com/go-kit/log"
+	"github.com/spf13/cobra"
+	"github.com/zeebo/errs"
+
+	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/daemon"
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/disk"
+	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/internal/httpapi"
+	"github.com/endivewalk/endivewalk/internal/operatorhttp"
+	"github.com/endivewalk/endivewalk/internal/settings"
+	"github.com/endivewalk/endivewalk/internal/source"
+	"github.com/endivewalk/endivewalk/internal/standin"
+	"github.com/endivewalk/endivewalk/pkg/operator"
+)
+
+// leaveTimeout bounds how long a process waits for running calls to end.
+const leaveTimeout = 30 * time.Second
+
+func newLogger(process string) kitlog.Logger {
+	logger := kitlog.NewLogfmtLogger(kitlog.NewSyncWriter(os.Stderr))
+	return kitlog.With(logger, "at", kitlog.DefaultTimestampUTC, "process", process)
+}
+
+func newSource() *cobra.Command {
+	var path string
+	initialise := false
+	cmd := &cobra.Command{
+		Use:   "source --settings FILE",
+		Short: "Run a replica of the source",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runSource(cmd.Context(), path, initialise)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file")
+	cmd.Flags().BoolVar(&initialise, "init", false, "make a new group if the data folder is empty; only for the first start of all replicas")
+	cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+func runSource(ctx context.Context, path string, initialise bool) error {
+	s, err := settings.ReadSource(path)
+	if err != nil {
+		return coded(exitUsage, err)
+	}
+	logger := newLogger(s.Name)
+	counters := &count.Set{}
+	events := event.New(s.Name, s.Zone)
+	node, err := source.Start(source.Config{
+		Name: s.Name, Zone: s.Zone, Listen: s.Peer, Members: members(s), Init: initialise,
+		Disk:    disk.Config{Folder: s.Folder},
+		Timing:  source.Timing{Heartbeat: time.Duration(s.Timing.Heartbeat), Election: time.Duration(s.Timing.Election), Snapshot: s.Timing.Snapshot},
+		Reserve: uint64(s.Reserve), Logger: logger, Events: events, Counters: counters,
+		Fatal: func(error) { os.Exit(exitUnknown) },
+	})
+	if err != nil {
+		return coded(exitUsage, err)
+	}
+	defer node.Stop()
+	handler, err := operatorhttp.New(operatorhttp.Config{
+		Node: node, Tokens: tokens(s), Sources: processes(s), Clock: time.Now, Events: events, Counters: counters,
+	})
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	listener, err := net.Listen("tcp", s.Operator)
+	if err != nil {
+		return coded(exitUsage, errs.New("source: %v", err))
+	}
+	go server.Serve(listener)
+	logger.Log("msg", "serves", "peer", s.Peer, "operator", s.Operator, "folder", s.Folder)
+	<-ctx.Done()
+	logger.Log("msg", "stops")
+	return server.Close()
+}
+
+func members(s *settings.Source) []source.Member {
+	var all []source.Member
+	for _, r := range s.Sources {
+		all = append(all, source.Member{Name: r.Name, Address: r.Peer})
+	}
+	return all
+}
+
+func tokens(s *settings.Source) httpapi.Tokens {
+	all := httpapi.Tokens{}
+	for _, t := range s.Tokens {
+		all[t.SHA256] = t.Operator
+	}
+	return all
+}
+
+func processes(s *settings.Source) []operator.Process {
+	var all []operator.Process
+	for _, r := range s.Sources {
+		all = append(all, operator.Process{Name: r.Name, Role: "source", Zone: r.Zone, Address: r.Operator})
+	}
+	return all
+}
+
+func newDaemon() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "daemon --settings FILE",
+		Short: "Run the daemon beside an upstream",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runDaemon(cmd.Context(), path)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file")
+	cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+func runDaemon(ctx context.Context, path string) error {
+	s, err := settings.ReadDaemon(path)
+	if err != nil {
+		return coded(exitUsage, err)
+	}
+	logger := newLogger(s.Name)
+	d, err := daemon.Start(daemon.Config{
+		Host: s.Name, Zone: s.Zone, Sources: s.Sources, Linger: time.Duration(s.Linger),
+		Listen: daemon.Addresses{Caller: s.Caller, Gate: s.Gate, Peer: s.Peer, Local: s.Local},
+		Shape:  directory.Shape{Relays: s.Tree.Relays, Fanout: s.Tree.Fanout},
+		Logger: logger,
+	})
+	if err != nil {
+		return coded(exitUsage, err)
+	}
+	logger.Log("msg", "serves", "caller", s.Caller, "gate", s.Gate, "peer", s.Peer, "local", s.Local)
+	<-ctx.Done()
+	logger.Log("msg", "leaves")
+	limit, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := d.Leave(limit); err != nil {
+		return coded(exitUnknown, errs.New("daemon: calls were still running: %v", err))
+	}
+	logger.Log("msg", "has left")
+	return nil
+}
+
+func newStandin() *cobra.Command {
+	c := standin.Config{Clock: time.Now, Draw: rand.Float64}
+	cmd := &cobra.Command{
+		Use:   "standin --service NAME --version NAME --address IP:PORT --daemon IP:PORT",
+		Short: "Run a small upstream for trying the system out",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runStandin(cmd.Context(), c)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&c.ID, "id", "", "its name; without it, service and version")
+	f.StringVar(&c.Service, "service", "", "service")
+	f.StringVar(&c.Version, "version", "", "version")
+	f.StringVar(&c.Address, "address", "", "where it serves")
+	f.StringVar(&c.Daemon, "daemon", "", "local address of the daemon beside it")
+	f.IntVar(&c.Slots, "slots", 9, "calls that run at once")
+	f.IntVar(&c.Connections, "connections", 110, "connections that it accepts")
+	f.DurationVar(&c.Work, "work", 2*time.Millisecond, "mean time of a call")
+	f.DurationVar(&c.ColdFor, "cold-for", 0, "how long it is slow after its start")
+	f.Float64Var(&c.ColdFactor, "cold-factor", 5, "how much slower it is then")
+	f.DurationVar(&c.Lease, "lease", 2*time.Second, "lease of its announcements")
+	f.DurationVar(&c.Lag, "lag", 0, "how old its health and load reports are")
+	f.BoolVar(&c.Mislead, "mislead", false, "its reports always show an idle, healthy upstream")
+	for _, name := range []string{"service", "version", "address"} {
+		cmd.MarkFlagRequired(name)
+	}
+	return cmd
+}
+
+func runStandin(ctx context.Context, c standin.Config) error {
+	s, err := standin.Start(c)
+	if err != nil {
+		return coded(exitUsage, err)
+	}
+	logger := newLogger("standin")
+	logger.Log("msg", "serves", "service", c.Service, "version", c.Version, "address", s.Address())
+	<-ctx.Done()
+	limit, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	return s.Leave(limit)
+}
--- /dev/null
+++ b/cmd/endivewalk/show.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/zeebo/errs"
+
+	"github.com/endivewalk/endivewalk/internal/expand"
+	"github.com/endivewalk/endivewalk/pkg/config"
+	"github.com/endivewalk/endivewalk/pkg/operator"
+)
+
+func newGet(o *options) *cobra.Command {
+	expanded := false
+	cmd := &cobra.Command{
+		Use:   "get [KEY...]",
+		Short: "Show the objects in force, or those whose keys begin so",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return runGet(cmd, o, args, expanded)
+		},
+	}
+	cmd.Flags().BoolVar(&expanded, "expanded", false, "show the routes that the templates expand to")
+	return cmd
+}
+
+func runGet(cmd *cobra.Command, o *options, prefixes []string, expanded bool) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	now, err := client.Configuration(cmd.Context())
+	if err != nil {
+		return err
+	}
+	if expanded {
+		return printRoutes(cmd.OutOrStdout(), now)
+	}
+	found := operator.Configuration{Revision: now.Revision, Objects: []operator.Object{}}
+	for _, one := range now.Objects {
+		if matches(one.Key, prefixes) {
+			found.Objects = append(found.Objects, one)
+		}
+	}
+	if o.json {
+		return printJSON(cmd.OutOrStdout(), found)
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "revision %d\n", found.Revision)
+	table(cmd.OutOrStdout(), func(row func(...any)) {
+		row("KEY", "REVISION", "BY", "REQUEST", "BODY")
+		for _, one := range found.Objects {
+			row(one.Key, one.Revision, one.Operator, one.Request, string(one.Body))
+		}
+	})
+	if len(prefixes) > 0 && len(found.Objects) == 0 {
+		return coded(exitRefused, errs.New("no object has such a key"))
+	}
+	return nil
+}
+
+func matches(key config.Key, prefixes []string) bool {
+	for _, p := range prefixes {
+		if strings.HasPrefix(string(key), p) {
+			return true
+		}
+	}
+	return len(prefixes) == 0
+}
+
+func printRoutes(w io.Writer, now operator.Configuration) error {
+	objects := map[config.Key]config.Object{}
+	for _, one := range now.Objects {
+		objects[one.Key] = one.Object
+	}
+	var builder expand.Builder
+	built, err := builder.Build(now.Revision, objects)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "revision %d\n", now.Revision)
+	table(w, func(row func(...any)) {
+		row("TEAM", "METHOD", "PATH", "SERVICE", "TIMEOUT", "REPEAT", "ROUTE")
+		for _, r := range built.Routes() {
+			repeat := config.RepeatNever
+			if r.Repeatable() {
+				repeat = config.RepeatSafe
+			}
+			row(r.Team(), r.Method(), r.Path(), r.Service(), r.Timeout(), repeat, r.Name())
+		}
+	})
+	return nil
+}
+
+func newStatus(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show how the source and the fleet are",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			s, err := client.Status(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if o.json {
+				return printJSON(cmd.OutOrStdout(), s)
+			}
+			printStatus(cmd.OutOrStdout(), s)
+			return nil
+		},
+	}
+}
+
+func printStatus(w io.Writer, s operator.Status) {
+	leader := s.Leader
+	if leader == "" {
+		leader = "none is known"
+	}
+	fmt.Fprintf(w, "source    revision %d, leader %s, term %d, heard of %d ms ago (asked %s, a %s)\n",
+		s.Revision, leader, s.Term, s.AgeMillis, s.Replica, s.Role)
+	state := "in force on every daemon"
+	if !s.Fleet.InForce {
+		state = fmt.Sprintf("lowest revision %d, behind: %s", s.Fleet.Low, strings.Join(s.Fleet.Behind, ", "))
+	}
+	fmt.Fprintf(w, "fleet     %d daemons known, %d reporting; %s\n\n", s.Fleet.Known, s.Fleet.Reporting, state)
+	table(w, func(row func(...any)) {
+		row("REPLICA", "VOTES", "SYNCED")
+		for _, r := range s.Replicas {
+			row(r.Name, r.Voter, r.Synced)
+		}
+	})
+	fmt.Fprintln(w)
+	table(w, func(row func(...any)) {
+		row("SERVICE", "VERSION", "UPSTREAM", "STATE", "HOST", "DATA CENTRE")
+		for _, u := range s.Upstreams {
+			row(u.Service, u.Version, u.ID, u.State, u.Host, u.Zone)
+		}
+	})
+}
+
+func newMove(o *options) *cobra.Command {
+	var to, by, request string
+	back := false
+	cmd := &cobra.Command{
+		Use:   "move SERVICE --to VERSION --by TIME",
+		Short: "Move a service's traffic to another version by a time, or take a move back",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if request == "" {
+				request = newRequest()
+			}
+			if back {
+				return runTakeBack(cmd, o, args[0], request)
+			}
+			return runMove(cmd, o, operator.BeginMove{Request: request, Service: args[0], To: to}, by)
+		},
+	}
+	cmd.Flags().StringVar(&to, "to", "", "the version to move to")
+	cmd.Flags().StringVar(&by, "by", "", "when to be done: a time as in RFC 3339, or a span from now such as 10m")
+	cmd.Flags().StringVar(&request, "request", "", "request id; sent again, it gets the first answer")
+	cmd.Flags().BoolVar(&back, "back", false, "take the running move back")
+	return cmd
+}
+
+func runMove(cmd *cobra.Command, o *options, m operator.BeginMove, by string) error {
+	if m.To == "" || by == "" {
+		return coded(exitUsage, errs.New("a move needs --to and --by, or --back"))
+	}
+	var err error
+	if m.By, err = parseTime(by, time.Now()); err != nil {
+		return coded(exitUsage, err)
+	}
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	out, err := client.Begin(cmd.Context(), m)
+	if err != nil {
+		return errs.New("%w (request %s)", err, m.Request)
+	}
+	return report(cmd, o, out)
+}
+
+func runTakeBack(cmd *cobra.Command, o *options, service, request string) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	out, err := client.TakeBack(cmd.Context(), operator.EndMove{Request: request, Service: service})
+	if err != nil {
+		return errs.New("%w (request %s)", err, request)
+	}
+	return report(cmd, o, out)
+}
+
+// parseTime reads a time, or a span from now.
+func parseTime(text string, now time.Time) (time.Time, error) {
+	if span, err := time.ParseDuration(text); err == nil {
+		return now.Add(span).UTC(), nil
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return t, errs.New("want a time such as 2026-12-04T18:00:00Z or a span such as 10m, got %q", text)
+	}
+	return t.UTC(), nil
+}
+
+func newMoves(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "moves",
+		Short: "Show the newest move of each service: running, done or taken back, and why",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			moves, err := client.Moves(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if o.json {
+				return printJSON(cmd.OutOrStdout(), moves)
+			}
+			printMoves(cmd.OutOrStdout(), moves)
+			return nil
+		},
+	}
+}
+
+func printMoves(w io.Writer, moves []operator.Move) {
+	table(w, func(row func(...any)) {
+		row("SERVICE", "FROM", "TO", "STATE", "SHARE", "BY", "ENDED", "CALLS", "FAILED", "WHY")
+		for _, m := range moves {
+			ended := "-"
+			if !m.Ended.IsZero() {
+				ended = m.Ended.Format(time.RFC3339)
+			}
+			row(m.Service, m.From, m.To, m.State, fmt.Sprintf("%.1f %%", float64(m.Share)/10),
+				m.By.Format(time.RFC3339), ended, m.Touched, m.Failed, m.Reason)
+		}
+	})
+}
--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,234 @@
+// Package balance chooses an upstream for a call.
+//
+// It weighs what this daemon has in flight against what the gates told with
+// their answers. The present time and random numbers are arguments.
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/feed"
+)
+
+// Config describes a Balancer. Zero fields get defaults.
+type Config struct {
+	Zone string
+	// Away is the time that a call to another data centre costs: 1 ms.
+	Away time.Duration
+	// Ramp is how long a new upstream gets less than its share: 5 s.
+	Ramp time.Duration
+	// Eject is how long an upstream that fails is left out at first: 1 s.
+	Eject time.Duration
+}
+
+const (
+	ejectMost    = 30 * time.Second
+	ejectAfter   = 3                // Failures in a row.
+	loadLifetime = time.Second      // How long a told load is believed.
+	firstService = time.Millisecond // Taken for an upstream that never answered.
+	forgetAfter  = time.Minute
+	rampLeast    = 0.1 // The part of its share that a new upstream gets at once.
+)
+
+// key names one life of an upstream.
+type key struct {
+	host        string
+	id          string
+	incarnation uint64
+}
+
+type state struct {
+	running  int
+	load     call.Load
+	loadAt   time.Time
+	failures int
+	ejected  time.Time // Left out until then.
+	ejects   int
+	usedAt   time.Time
+}
+
+// Balancer chooses upstreams. It is safe for concurrent use. Make one with
+// New.
+type Balancer struct {
+	config Config
+	mutex  sync.Mutex
+	states map[key]*state
+	swept  time.Time
+}
+
+// New returns a balancer that knows no load yet.
+func New(c Config) *Balancer {
+	if c.Away == 0 {
+		c.Away = time.Millisecond
+	}
+	if c.Ramp == 0 {
+		c.Ramp = 5 * time.Second
+	}
+	if c.Eject == 0 {
+		c.Eject = time.Second
+	}
+	return &Balancer{config: c, states: map[key]*state{}}
+}
+
+func keyOf(t feed.Target) key { return key{host: t.Host, id: t.ID, incarnation: t.Incarnation} }
+
+// Pick chooses among targets at now and counts the call as running there; the
+// caller must call Done. skip holds upstreams that refused this call already.
+// draw gives random numbers in [0, 1). It returns false if there is none.
+//
+// Two upstreams of the own data centre and one of the others are drawn, and
+// the one that is likely to answer first is taken, so that calls stay near
+// until that costs more than going away.
+func (b *Balancer) Pick(now time.Time, targets []feed.Target, skip map[string]bool, draw func() float64) (feed.Target, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.sweep(now)
+	near, away := b.usable(now, targets, skip)
+	var drawn []feed.Target
+	drawn = append(drawn, sample(near, 2, draw)...)
+	drawn = append(drawn, sample(away, 3-len(drawn), draw)...)
+	if len(drawn) == 0 {
+		return feed.Target{}, false
+	}
+	best := drawn[0]
+	for _, t := range drawn[1:] {
+		if b.score(now, t, draw) < b.score(now, best, draw) {
+			best = t
+		}
+	}
+	s := b.state(keyOf(best))
+	s.running++
+	s.usedAt = now
+	return best, true
+}
+
+// usable splits the targets that may be used by data centre. If all have been
+// left out for failing, all are tried again.
+func (b *Balancer) usable(now time.Time, targets []feed.Target, skip map[string]bool) (near, away []feed.Target) {
+	for _, failing := range []bool{false, true} {
+		for _, t := range targets {
+			if t.State != 0 || skip[t.Host+"/"+t.ID] || (!failing && b.isEjected(now, t)) {
+				continue
+			}
+			if t.Zone == b.config.Zone {
+				near = append(near, t)
+			} else {
+				away = append(away, t)
+			}
+		}
+		if len(near)+len(away) > 0 {
+			break
+		}
+	}
+	return near, away
+}
+
+func (b *Balancer) isEjected(now time.Time, t feed.Target) bool {
+	s := b.states[keyOf(t)]
+	return s != nil && now.Before(s.ejected)
+}
+
+// sample draws up to count different targets.
+func sample(from []feed.Target, count int, draw func() float64) []feed.Target {
+	if len(from) <= count {
+		return from
+	}
+	first := int(draw() * float64(len(from)))
+	if count == 1 {
+		return from[first : first+1]
+	}
+	second := int(draw() * float64(len(from)-1))
+	if second >= first {
+		second++
+	}
+	return []feed.Target{from[first], from[second]}
+}
+
+// score is the time in which a target is likely to answer, in seconds.
+func (b *Balancer) score(now time.Time, t feed.Target, draw func() float64) float64 {
+	running, limit, service := 0, t.Slots, firstService
+	if s := b.states[keyOf(t)]; s != nil {
+		running = s.running
+		if s.load.Limit > 0 {
+			limit = s.load.Limit
+			service = max(s.load.Service, time.Microsecond)
+		}
+		if now.Sub(s.loadAt) < loadLifetime {
+			running = max(running, s.load.Running+s.load.Queued)
+		}
+	}
+	busy := float64(running+1) / float64(limit)
+	seconds := service.Seconds() * (1 + busy)
+	if busy > 1 {
+		seconds += service.Seconds() * (busy - 1)
+	}
+	if t.Zone != b.config.Zone {
+		seconds += b.config.Away.Seconds()
+	}
+	if part := b.ramped(now, t); draw() > part {
+		seconds *= 1 / part
+	}
+	return seconds
+}
+
+// ramped returns the part of its share that a target gets, which grows while
+// it is new.
+func (b *Balancer) ramped(now time.Time, t feed.Target) float64 {
+	age := now.Sub(t.Since)
+	if age >= b.config.Ramp {
+		return 1
+	}
+	return max(rampLeast, age.Seconds()/b.config.Ramp.Seconds())
+}
+
+func (b *Balancer) state(k key) *state {
+	s := b.states[k]
+	if s == nil {
+		s = &state{}
+		b.states[k] = s
+	}
+	return s
+}
+
+// Result is how a call to a target ended.
+type Result struct {
+	Load   call.Load // Zero if none was told.
+	Failed bool      // The target could not be reached or broke off.
+}
+
+// Done ends a call that Pick counted.
+func (b *Balancer) Done(now time.Time, t feed.Target, r Result) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s := b.state(keyOf(t))
+	s.running--
+	s.usedAt = now
+	if r.Load.Limit > 0 {
+		s.load = r.Load
+		s.loadAt = now
+	}
+	if !r.Failed {
+		s.failures, s.ejects = 0, 0
+		return
+	}
+	s.failures++
+	if s.failures >= ejectAfter && !now.Before(s.ejected) {
+		s.ejected = now.Add(min(b.config.Eject<<min(s.ejects, 5), ejectMost))
+		s.ejects++
+	}
+}
+
+// sweep forgets upstreams that have not been used for long.
+func (b *Balancer) sweep(now time.Time) {
+	if now.Sub(b.swept) < forgetAfter {
+		return
+	}
+	b.swept = now
+	for k, s := range b.states {
+		if s.running <= 0 && now.Sub(s.usedAt) > forgetAfter {
+			delete(b.states, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/caller/entry.go
@@ -0,0 +1,154 @@
+// Package caller is a daemon's side towards callers: the entry, which routes
+// each call to an upstream by way of that upstream's own daemon.
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/balance"
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/evidence"
+	"github.com/endivewalk/endivewalk/internal/expand"
+	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/upstream"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// Config describes an Entry.
+type Config struct {
+	Host     string
+	Zone     string
+	Clock    func() time.Time
+	Draw     func() float64 // A random number in [0, 1).
+	Ready    func() bool    // Whether the configuration may be served.
+	Hub      *feed.Hub
+	Gate     *upstream.Gate // The gate of this daemon.
+	Evidence *evidence.Counter
+	Counters *count.Set
+	// Charge takes units of a team's contract and returns false if they are
+	// used up.
+	Charge func(now time.Time, l *expand.Limit, team string, cost int) bool
+	// Braked reports whether this daemon has stopped sending calls to the new
+	// version of a move.
+	Braked func(m config.Move) bool
+}
+
+// Entry routes calls. It is safe for concurrent use. Make one with New.
+type Entry struct {
+	config   Config
+	balancer *balance.Balancer
+	retries  retryBudget
+	client   *http.Transport
+}
+
+// New returns an entry.
+func New(c Config) *Entry {
+	return &Entry{
+		config:   c,
+		balancer: balance.New(balance.Config{Zone: c.Zone}),
+		client:   newTransport(),
+	}
+}
+
+// Close closes the connections to other daemons.
+func (e *Entry) Close() { e.client.CloseIdleConnections() }
+
+// routed is a call on its way.
+type routed struct {
+	request  *http.Request
+	route    *expand.Route
+	state    *feed.State // The configuration that the call began with.
+	deadline time.Time
+	depth    int
+	key      string
+	body     *callBody
+}
+
+// ServeHTTP answers a call.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.config.Counters.Add("calls", 1)
+	c, refusal := e.admit(r)
+	if refusal != nil {
+		e.refuse(w, refusal)
+		return
+	}
+	defer c.body.release()
+	answer, err := e.serve(c)
+	if err != nil {
+		e.refuse(w, call.AsRefusal(err))
+		return
+	}
+	e.config.Counters.Add("calls_answered", 1)
+	passOn(w, answer)
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, r *call.Refusal) {
+	e.config.Counters.Add("calls_refused_"+string(r.Reason), 1)
+	outside := *r
+	outside.Load = call.Load{}
+	outside.Write(w)
+}
+
+// passOn writes an answer for the caller, who learns nothing of loads.
+func passOn(w http.ResponseWriter, a *upstream.Answer) {
+	defer a.Body.Close()
+	h := w.Header()
+	call.CopyHeader(h, a.Header)
+	h.Set(call.HeaderRun, string(call.RunRan))
+	w.WriteHeader(a.Status)
+	if err := call.CopyBody(w, a.Body, a.Length < 0); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// admit finds the route of a call and charges its team.
+func (e *Entry) admit(r *http.Request) (*routed, *call.Refusal) {
+	if !e.config.Ready() {
+		return nil, call.Refuse(call.ReasonNotReady)
+	}
+	now := e.config.Clock()
+	state := e.config.Hub.State()
+	team := r.Header.Get(call.HeaderTeam)
+	if !state.Table().KnowsTeam(team) {
+		return nil, call.Refuse(call.ReasonNoTeam)
+	}
+	route, ok := state.Table().Match(team, r.Method, r.URL.Path)
+	if !ok {
+		return nil, call.Refuse(call.ReasonNoRoute)
+	}
+	timeout, refusal := timeoutOf(r, route)
+	if refusal != nil {
+		return nil, refusal
+	}
+	body, err := newCallBody(r)
+	if err != nil {
+		return nil, call.Refuse(call.ReasonBadCall)
+	}
+	limit, limited := state.Table().Limit(team)
+	if limited && !e.config.Charge(now, limit, team, limit.Cost(route.Name())) {
+		return nil, call.Refuse(call.ReasonLimit)
+	}
+	return &routed{
+		request: r, route: route, state: state, deadline: now.Add(timeout),
+		depth: call.Depth(r.Header), key: r.Header.Get(call.HeaderKey), body: body,
+	}, nil
+}
+
+// timeoutOf returns how long a call may take: what the route says, or less if
+// the caller says so.
+func timeoutOf(r *http.Request, route *expand.Route) (time.Duration, *call.Refusal) {
+	asked := r.Header.Get(call.HeaderTimeout)
+	if asked == "" {
+		return route.Timeout(), nil
+	}
+	d, err := time.ParseDuration(asked)
+	if err != nil {
+		return 0, call.Refuse(call.ReasonBadCall)
+	}
+	if d <= 0 {
+		return 0, call.Refuse(call.ReasonDeadline)
+	}
+	return min(d, route.Timeout()), nil
+}
--- /dev/null
+++ b/internal/caller/send.go
@@ -0,0 +1,200 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/upstream"
+)
+
+const (
+	dialTimeout  = 500 * time.Millisecond
+	idlePerGate  = 256
+	idleLifetime = 30 * time.Second
+	// answerGrace is added to the deadline of a call on its way to a gate, so
+	// that the gate's word on what became of it can still come back.
+	answerGrace = 50 * time.Millisecond
+)
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerGate,
+		IdleConnTimeout:     idleLifetime,
+		DisableCompression:  true,
+		WriteBufferSize:     bodyKept,
+	}
+}
+
+// send sends a call to a target once. The error is a *call.Refusal.
+func (e *Entry) send(c *routed, t feed.Target) (*upstream.Answer, error) {
+	if t.Host == e.config.Host {
+		return e.config.Gate.Do(c.request.Context(), upstream.Call{
+			Upstream: t.ID, Method: c.request.Method, URL: c.request.URL, Header: c.request.Header,
+			Body: c.body.open(), Length: c.body.length(), Key: c.key,
+			Repeat: c.route.Repeatable(), Deadline: c.deadline,
+		})
+	}
+	return e.sendAway(c, t)
+}
+
+// sendAway sends a call to the gate of another daemon.
+func (e *Entry) sendAway(c *routed, t feed.Target) (*upstream.Answer, error) {
+	now := e.config.Clock()
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline.Add(answerGrace))
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	request := e.newRequest(httptrace.WithClientTrace(ctx, trace), now, c, t)
+	response, err := e.client.RoundTrip(request)
+	if err != nil {
+		cancel()
+		return nil, lost(ctx, sent.Load())
+	}
+	body := &cancelBody{ReadCloser: response.Body, cancel: cancel}
+	answer, err := readAnswer(response, body)
+	if err != nil {
+		body.Close()
+	}
+	return answer, err
+}
+
+// lost tells what is known of a call to which a gate gave no answer.
+func lost(ctx context.Context, sent bool) *call.Refusal {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case sent && late:
+		return call.Unknown(call.ReasonDeadline)
+	case sent:
+		return call.Unknown(call.ReasonBroken)
+	case late:
+		return call.Refuse(call.ReasonDeadline)
+	default:
+		return call.Refuse(call.ReasonUnreachable)
+	}
+}
+
+func (e *Entry) newRequest(ctx context.Context, now time.Time, c *routed, t feed.Target) *http.Request {
+	in := c.request
+	r := &http.Request{
+		Method:        in.Method,
+		URL:           &url.URL{Scheme: "http", Host: t.Gate, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
+		Host:          in.Host,
+		Header:        make(http.Header, len(in.Header)+6),
+		Body:          call.SendBody(in.Method, c.body.open(), c.route.Repeatable()),
+		ContentLength: c.body.length(),
+	}
+	call.CopyHeader(r.Header, in.Header)
+	delete(r.Header, call.HeaderKey)
+	r.Header.Set(call.HeaderUpstream, t.ID)
+	r.Header.Set(call.HeaderBudget, strconv.FormatInt(c.deadline.Sub(now).Microseconds(), 10))
+	r.Header.Set(call.HeaderTeam, c.route.Team())
+	r.Header.Set(call.HeaderRoute, c.route.Name())
+	r.Header.Set(call.HeaderDepth, strconv.Itoa(c.depth))
+	r.Header.Set(call.HeaderHost, e.config.Host)
+	if c.key != "" {
+		r.Header.Set(call.HeaderInnerKey, c.key)
+	}
+	if c.route.Repeatable() {
+		r.Header.Set(call.HeaderRepeat, "safe")
+	}
+	return r.WithContext(ctx)
+}
+
+// readAnswer tells an upstream's answer from the gate's own.
+func readAnswer(r *http.Response, body io.ReadCloser) (*upstream.Answer, error) {
+	load, _ := call.ParseLoad(r.Header.Get(call.HeaderLoad))
+	switch run := call.Run(r.Header.Get(call.HeaderRun)); run {
+	case call.RunRan:
+		took, _ := strconv.ParseInt(r.Header.Get(call.HeaderTook), 10, 64)
+		return &upstream.Answer{
+			Status: r.StatusCode, Header: r.Header, Body: body, Length: r.ContentLength,
+			Load: load, Took: time.Duration(took) * time.Microsecond,
+		}, nil
+	case call.RunNot:
+		return nil, &call.Refusal{Run: run, Reason: call.Reason(r.Header.Get(call.HeaderReason)), Load: load}
+	default:
+		return nil, &call.Refusal{Run: call.RunUnknown, Reason: call.ReasonBroken, Load: load}
+	}
+}
+
+// cancelBody frees the call's context when the answer ends.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close ends the answer.
+func (b *cancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
+
+// bodyKept is the largest body, in bytes, that is kept to be sent again to
+// another upstream if the first one did not run the call.
+const bodyKept = 64 << 10
+
+// callBody is a call's body, which can be opened again if it is small.
+type callBody struct {
+	kept   []byte
+	rest   io.ReadCloser // Set if the body is larger than what is kept.
+	size   int64         // -1 if unknown.
+	opened bool
+}
+
+// newCallBody reads a small body whole. The error is that of a caller who
+// broke off.
+func newCallBody(r *http.Request) (*callBody, error) {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return &callBody{}, nil
+	}
+	if r.ContentLength > bodyKept {
+		return &callBody{rest: r.Body, size: r.ContentLength}, nil
+	}
+	kept, err := io.ReadAll(io.LimitReader(r.Body, bodyKept+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(kept) <= bodyKept {
+		return &callBody{kept: kept, size: int64(len(kept))}, nil
+	}
+	return &callBody{kept: kept, rest: r.Body, size: r.ContentLength}, nil
+}
+
+// rewindable reports whether the body can be opened once more.
+func (b *callBody) rewindable() bool { return b.rest == nil || !b.opened }
+
+func (b *callBody) length() int64 { return b.size }
+
+func (b *callBody) open() io.ReadCloser {
+	b.opened = true
+	switch {
+	case b.rest != nil:
+		return struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(b.kept), b.rest), b.rest}
+	case len(b.kept) > 0:
+		return io.NopCloser(bytes.NewReader(b.kept))
+	default:
+		return nil
+	}
+}
+
+func (b *callBody) release() {
+	if b.rest != nil {
+		b.rest.Close()
+	}
+}
--- /dev/null
+++ b/internal/caller/serve.go
@@ -0,0 +1,156 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/balance"
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/evidence"
+	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/upstream"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// attemptLimit is how many upstreams a call may be sent to.
+const attemptLimit = 3
+
+// serve sends a call to upstreams until one answers or no other may be tried.
+func (e *Entry) serve(c *routed) (*upstream.Answer, error) {
+	e.retries.earn()
+	version, move := e.pickVersion(c)
+	skip := map[string]bool{}
+	refusal := call.Refuse(call.ReasonNoUpstream)
+	for attempt := 1; ; attempt++ {
+		now := e.config.Clock()
+		if !now.Before(c.deadline) {
+			return nil, worse(refusal, call.ReasonDeadline)
+		}
+		target, ok := e.pickTarget(now, c.route.Service(), version, skip)
+		if !ok {
+			return nil, refusal
+		}
+		skip[target.Host+"/"+target.ID] = true
+		answer, err := e.send(c, target)
+		e.finish(c, now, target, move, answer, err)
+		if err == nil {
+			if !e.shouldPassOver(c, answer) || attempt == attemptLimit || !e.mayRetry() {
+				return answer, nil
+			}
+			answer.Body.Close()
+			continue
+		}
+		refusal = call.AsRefusal(err)
+		if !e.mayRepeat(c, refusal) || attempt == attemptLimit || !e.mayRetry() {
+			return nil, refusal
+		}
+	}
+}
+
+// worse keeps "unknown" if an earlier attempt may have run.
+func worse(r *call.Refusal, reason call.Reason) *call.Refusal {
+	if r.Run == call.RunUnknown {
+		return r
+	}
+	return call.Refuse(reason)
+}
+
+// pickVersion decides which version of the service gets the call, and returns
+// the move under way, if any.
+func (e *Entry) pickVersion(c *routed) (string, *config.Move) {
+	table := c.state.Table()
+	split := table.Split(c.route.Service())
+	if split.To == "" {
+		return split.From, nil
+	}
+	move, _ := table.Move(c.route.Service())
+	if e.config.Braked(move) {
+		return split.From, &move
+	}
+	draw := int(e.config.Draw() * config.FullShare)
+	if draw < split.Share && e.hasReady(c.route.Service(), split.To) {
+		return split.To, &move
+	}
+	if !e.hasReady(c.route.Service(), split.From) && split.Share > 0 {
+		return split.To, &move
+	}
+	return split.From, &move
+}
+
+func (e *Entry) hasReady(service, version string) bool {
+	for _, t := range e.config.Hub.View().Targets(service, version) {
+		if t.State == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Entry) pickTarget(now time.Time, service, version string, skip map[string]bool) (feed.Target, bool) {
+	targets := e.config.Hub.View().Targets(service, version)
+	return e.balancer.Pick(now, targets, skip, e.config.Draw)
+}
+
+// shouldPassOver reports whether an upstream's own shedding should be answered
+// by trying another one.
+func (e *Entry) shouldPassOver(c *routed, a *upstream.Answer) bool {
+	return a.Status == http.StatusServiceUnavailable && e.mayRunAgain(c)
+}
+
+// mayRepeat reports whether a call may be sent again after a refusal.
+func (e *Entry) mayRepeat(c *routed, r *call.Refusal) bool {
+	if r.Run == call.RunNot {
+		return c.body.rewindable()
+	}
+	return e.mayRunAgain(c)
+}
+
+// mayRunAgain reports whether a call that may have run can be run once more.
+// Only the outermost call of a chain does that, since each level that did
+// would multiply the calls below it.
+func (e *Entry) mayRunAgain(c *routed) bool {
+	return c.route.Repeatable() && c.depth == 0 && c.body.rewindable()
+}
+
+// mayRetry takes a retry from the budget.
+func (e *Entry) mayRetry() bool {
+	if !e.retries.spend() {
+		e.config.Counters.Add("retries_denied", 1)
+		return false
+	}
+	e.config.Counters.Add("retries", 1)
+	return true
+}
+
+// finish tells the balancer and the evidence how an attempt went.
+func (e *Entry) finish(c *routed, start time.Time, t feed.Target, move *config.Move, a *upstream.Answer, err error) {
+	now := e.config.Clock()
+	result := balance.Result{}
+	failed := false
+	took := now.Sub(start)
+	if err != nil {
+		r := call.AsRefusal(err)
+		result.Load = r.Load
+		result.Failed = r.Run == call.RunUnknown || r.Reason == call.ReasonUnreachable
+		failed = r.Run == call.RunUnknown
+	} else {
+		result.Load = a.Load
+		took = a.Took
+		failed = a.Status >= http.StatusInternalServerError
+	}
+	e.balancer.Done(now, t, result)
+	if move == nil || (err != nil && !failed) {
+		return
+	}
+	key := evidence.Key{
+		Service: t.Service, Move: move.Start.UnixMilli(), Version: t.Version,
+		Route: c.route.Name(), Host: t.Host,
+	}
+	warm := now.Sub(t.Since) >= warmUp
+	if failed || warm {
+		e.config.Evidence.Add(key, took, failed)
+	}
+}
+
+// warmUp is how long answers of a new upstream say nothing about its speed.
+const warmUp = 3 * time.Second
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,65 @@
+// Package daemon runs the process beside an upstream: the entry for callers,
+// the gate of the upstream, and a relay of configuration and directory.
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/internal/move"
+	"github.com/endivewalk/endivewalk/internal/peer"
+)
+
+// Addresses are those that a daemon listens on, each an IP number and a port.
+type Addresses struct {
+	Caller string // Calls from callers.
+	Gate   string // Calls from other daemons.
+	Peer   string // Control messages of other processes.
+	Local  string // Announcements, counters and events.
+}
+
+// Config describes a Daemon. Host, Zone, Listen and Sources are required.
+type Config struct {
+	Host     string
+	Zone     string
+	Listen   Addresses
+	Sources  []string // Control addresses of the source's replicas.
+	Shape    directory.Shape
+	Linger   time.Duration // How long a leaving daemon still takes calls: 3 s.
+	Clock    func() time.Time
+	Draw     func() float64 // Random numbers in [0, 1).
+	Dial     peer.Dial
+	Policy   move.Policy
+	Logger   log.Logger
+	Events   *event.Ring
+	Counters *count.Set
+}
+
+const defaultLinger = 3 * time.Second
+
+func (c Config) withDefaults() Config {
+	if c.Linger == 0 {
+		c.Linger = defaultLinger
+	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	if c.Draw == nil {
+		c.Draw = rand.Float64
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	if c.Counters == nil {
+		c.Counters = &count.Set{}
+	}
+	if c.Events == nil {
+		c.Events = event.New(c.Host, c.Zone)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/endivewalk/endivewalk/internal/caller"
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/internal/evidence"
+	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/localhttp"
+	"github.com/endivewalk/endivewalk/internal/peer"
+	"github.com/endivewalk/endivewalk/internal/upstream"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// Daemon is a running daemon. It is safe for concurrent use. Make one with
+// Start.
+type Daemon struct {
+	config   Config
+	hub      *feed.Hub
+	child    *feed.Child
+	gate     *upstream.Gate
+	entry    *caller.Entry
+	evidence *evidence.Counter
+	charges  *charges
+	brakes   brakes
+	server   *peer.Server
+	traffic  peer.Traffic
+	watch    watcher
+
+	caller    *http.Server
+	gateHTTP  *http.Server
+	local     *http.Server
+	addresses Addresses
+
+	record   recordKeeper
+	leaving  atomic.Bool
+	stop     chan struct{}
+	duties   sync.WaitGroup
+	stopOnce sync.Once
+}
+
+// Start opens the daemon's addresses and begins to serve.
+func Start(c Config) (*Daemon, error) {
+	c = c.withDefaults()
+	now := c.Clock()
+	d := &Daemon{config: c, stop: make(chan struct{})}
+	incarnation := uint64(now.UnixMilli())
+	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters})
+	d.evidence = evidence.NewCounter(c.Host, incarnation)
+	d.charges = newCharges()
+	d.watch.clients = map[string]*peer.Client{}
+	d.child = feed.NewChild(feed.ChildConfig{
+		Host: c.Host, Zone: c.Zone, Sources: c.Sources, Shape: c.Shape,
+		Clock: c.Clock, Draw: c.Draw, Dial: c.Dial, Traffic: &d.traffic,
+		Refused: d.noteRefused, Parent: d.noteParent,
+	}, d.hub)
+	d.gate = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, Changed: d.renewRecord})
+	d.entry = caller.New(caller.Config{
+		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Draw: c.Draw, Ready: d.child.Ready,
+		Hub: d.hub, Gate: d.gate, Evidence: d.evidence, Counters: c.Counters,
+		Charge: d.charge, Braked: d.brakes.braked,
+	})
+	if err := d.listen(); err != nil {
+		d.closeServers()
+		return nil, err
+	}
+	d.record.init(directory.Record{
+		Host: c.Host, Incarnation: incarnation, Zone: c.Zone,
+		Peer: d.addresses.Peer, Gate: d.addresses.Gate, Local: d.addresses.Local,
+	})
+	d.renewRecord()
+	d.publishGauges()
+	d.startDuties()
+	c.Events.Add(now, event.Event{Kind: "daemon-started", Subject: c.Host, Text: "started"})
+	return d, nil
+}
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+)
+
+// listen opens all addresses, and serves those that need nothing else yet.
+func (d *Daemon) listen() error {
+	server, err := peer.Listen(d.config.Listen.Peer, &d.traffic)
+	if err != nil {
+		return err
+	}
+	d.server = server
+	d.addresses.Peer = server.Address()
+	service := feed.NewService(d.hub, d.config.Clock, nil)
+	if err := server.Register("Feed", service); err != nil {
+		return errs.New("daemon: %v", err)
+	}
+	if err := server.Register("Watch", &watchService{daemon: d}); err != nil {
+		return errs.New("daemon: %v", err)
+	}
+	local, err := localhttp.New(localhttp.Config{
+		Gate: d.gate, Clock: d.config.Clock, Status: d.Status, Events: d.config.Events, Counters: d.config.Counters,
+	})
+	if err != nil {
+		return err
+	}
+	if d.caller, err = d.serveHTTP(d.config.Listen.Caller, &d.addresses.Caller, d.entry); err != nil {
+		return err
+	}
+	if d.gateHTTP, err = d.serveHTTP(d.config.Listen.Gate, &d.addresses.Gate, d.gate); err != nil {
+		return err
+	}
+	d.local, err = d.serveHTTP(d.config.Listen.Local, &d.addresses.Local, local)
+	return err
+}
+
+func (d *Daemon) serveHTTP(address string, bound *string, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errs.New("daemon: %v", err)
+	}
+	*bound = l.Addr().String()
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: countedLog(d.config.Counters),
+	}
+	go s.Serve(l)
+	return s, nil
+}
+
+// startDuties starts one goroutine for each duty.
+func (d *Daemon) startDuties() {
+	for _, duty := range []func(){
+		d.server.Serve, d.child.RunFloor, d.child.RunPull, d.child.RunReport,
+		d.runHousekeeping, d.runWatch, d.runBrakes,
+	} {
+		d.duties.Add(1)
+		go func() {
+			defer d.duties.Done()
+			duty()
+		}()
+	}
+}
+
+func (d *Daemon) publishGauges() {
+	c := d.config.Counters
+	c.Gauge("control_bytes_sent", func() any { return d.traffic.Sent() })
+	c.Gauge("control_bytes_received", func() any { return d.traffic.Received() })
+	c.Gauge("revision", func() any { return d.hub.State().Revision() })
+	c.Gauge("ready", func() any { return d.child.Ready() })
+}
+
+// Addresses returns the addresses that the daemon listens on.
+func (d *Daemon) Addresses() Addresses { return d.addresses }
+
+// Hub returns what the daemon knows and passes on.
+func (d *Daemon) Hub() *feed.Hub { return d.hub }
+
+// Ready reports whether calls are served.
+func (d *Daemon) Ready() bool { return d.child.Ready() }
+
+// Counters returns the daemon's counters.
+func (d *Daemon) Counters() interface{ Get(string) int64 } { return d.config.Counters }
+
+// Events returns the daemon's part of the time line.
+func (d *Daemon) Events() *event.Ring { return d.config.Events }
+
+// Traffic returns the daemon's control traffic.
+func (d *Daemon) Traffic() *peer.Traffic { return &d.traffic }
+
+// Status tells how the daemon is at now.
+func (d *Daemon) Status(now time.Time) localhttp.Status {
+	state := d.hub.State()
+	s := localhttp.Status{
+		Host: d.config.Host, Zone: d.config.Zone, Revision: state.Revision(), Digest: state.Table().Digest(),
+		Ready: d.child.Ready(), Parent: d.child.Parent(), Known: len(d.hub.View().Live()), Loads: d.gate.Loads(),
+		AgeMillis: -1,
+	}
+	if heard := d.hub.Heard(); !heard.IsZero() {
+		s.AgeMillis = now.Sub(heard).Milliseconds()
+	}
+	return s
+}
+
+func (d *Daemon) noteRefused(r config.Revision, err error) {
+	d.config.Logger.Log("msg", "revision refused", "revision", r, "err", err)
+	d.config.Events.Add(d.config.Clock(), event.Event{Kind: "revision-refused", Revision: r, Text: err.Error()})
+}
+
+func (d *Daemon) noteParent(address string) {
+	d.config.Logger.Log("msg", "pulls from another parent", "parent", address)
+	d.config.Events.Add(d.config.Clock(), event.Event{Kind: "parent", Subject: d.config.Host, Text: "pulls from " + address})
+}
+
+const housekeepingPause = 250 * time.Millisecond
+
+// runHousekeeping ends leases, drops what is old, and notes new revisions.
+func (d *Daemon) runHousekeeping() {
+	seen := config.Revision(0)
+	for d.pause(housekeepingPause) {
+		now := d.config.Clock()
+		d.gate.Expire(now)
+		d.hub.Expire(now)
+		d.correctRecord()
+		if r := d.hub.State().Revision(); r > seen {
+			seen = r
+			d.noteInForce(now, r)
+		}
+	}
+}
+
+func (d *Daemon) noteInForce(now time.Time, r config.Revision) {
+	d.config.Counters.Add("revisions_in_force", 1)
+	d.config.Events.Add(now, event.Event{Kind: "in-force", Subject: d.config.Host, Revision: r, Text: "has the revision in force"})
+}
+
+func (d *Daemon) pause(t time.Duration) bool {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-d.stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/feed/hub.go
@@ -0,0 +1,274 @@
+package feed
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/catalog"
+	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/evidence"
+	"github.com/endivewalk/endivewalk/internal/expand"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// State is a configuration in force: its objects and what they expand to. It
+// is immutable.
+type State struct {
+	catalog *catalog.Catalog
+	table   *expand.Table
+}
+
+// Catalog returns the objects.
+func (s *State) Catalog() *catalog.Catalog { return s.catalog }
+
+// Table returns the expanded configuration.
+func (s *State) Table() *expand.Table { return s.table }
+
+// Revision returns the revision in force.
+func (s *State) Revision() config.Revision { return s.catalog.Revision() }
+
+// childLifetime is how long a child that no longer reports counts as one.
+const childLifetime = 5 * time.Second
+
+type child struct {
+	ack Ack
+	at  time.Time
+}
+
+// HubConfig describes a Hub.
+type HubConfig struct {
+	Host     string
+	Instance uint64 // Differs each time the process starts.
+	Source   bool   // A source replica does not count itself as a daemon.
+	Counters *count.Set
+}
+
+// Hub is what a process knows and passes on: the configuration in force, the
+// directory, evidence, and the acknowledgements of its children. It is safe
+// for concurrent use. Make one with NewHub.
+type Hub struct {
+	config HubConfig
+	state  atomic.Pointer[State]
+	view   atomic.Pointer[View]
+
+	mutex     sync.Mutex
+	directory directory.Directory
+	evidence  evidence.Store
+	children  map[string]child
+	siblings  map[string]child // Other source replicas, with all below them.
+	heard     time.Time        // When the source's leader was last heard of.
+	wake      chan struct{}
+	transfers admission
+}
+
+// NewHub returns a hub with nothing in force.
+func NewHub(c HubConfig) *Hub {
+	h := &Hub{config: c, children: map[string]child{}, siblings: map[string]child{}, wake: make(chan struct{})}
+	var b expand.Builder
+	table, _ := b.Build(0, nil)
+	h.state.Store(&State{catalog: &catalog.Catalog{}, table: table})
+	h.view.Store(newView(nil))
+	return h
+}
+
+// Instance tells one run of the process from another.
+func (h *Hub) Instance() uint64 { return h.config.Instance }
+
+// State returns the configuration in force.
+func (h *Hub) State() *State { return h.state.Load() }
+
+// View returns the upstreams that there are, by service.
+func (h *Hub) View() *View { return h.view.Load() }
+
+// Publish puts a configuration in force if it is newer than the present one,
+// and returns whether it did.
+func (h *Hub) Publish(c *catalog.Catalog, t *expand.Table) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if c.Revision() <= h.state.Load().Revision() {
+		return false
+	}
+	h.state.Store(&State{catalog: c, table: t})
+	h.notify()
+	return true
+}
+
+// notify wakes everyone who waits for news. The caller holds the lock.
+func (h *Hub) notify() {
+	close(h.wake)
+	h.wake = make(chan struct{})
+}
+
+// Wake returns a channel that is closed at the next news.
+func (h *Hub) Wake() <-chan struct{} {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.wake
+}
+
+// Hear notes that the source's leader was heard of at t.
+func (h *Hub) Hear(t time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if t.After(h.heard) {
+		h.heard = t
+	}
+}
+
+// Heard returns when the source's leader was last heard of.
+func (h *Hub) Heard() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.heard
+}
+
+// Learn merges directory records that another process sent, or that this one
+// makes itself if from is "".
+func (h *Hub) Learn(now time.Time, from string, records ...directory.Record) []directory.Record {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	news := h.directory.Merge(now, from, records...)
+	if len(news) > 0 {
+		h.refresh()
+	}
+	return news
+}
+
+// refresh rebuilds the view after a change of the directory. The caller holds
+// the lock.
+func (h *Hub) refresh() {
+	h.view.Store(newView(h.directory.Live()))
+	h.notify()
+}
+
+// MarkGone declares a daemon gone.
+func (h *Hub) MarkGone(now time.Time, host string, incarnation uint64) (directory.Record, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	r, ok := h.directory.MarkGone(now, host, incarnation)
+	if ok {
+		h.refresh()
+	}
+	return r, ok
+}
+
+// Expire drops old directory records and children that no longer report.
+func (h *Hub) Expire(now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.directory.Expire(now)
+	for name, c := range h.children {
+		if now.Sub(c.at) > childLifetime {
+			delete(h.children, name)
+		}
+	}
+	for name, c := range h.siblings {
+		if now.Sub(c.at) > childLifetime {
+			delete(h.siblings, name)
+		}
+	}
+}
+
+// Record returns the directory record of a host.
+func (h *Hub) Record(host string) (directory.Record, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.directory.Get(host)
+}
+
+// ChangesBelow returns what changed after a cursor among the directory records
+// and evidence reports that this process made itself or learned from its
+// children, and the next cursor. What came from above need not go back there.
+func (h *Hub) ChangesBelow(after Cursor) ([]directory.Record, []evidence.Report, Cursor) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	below := func(learned string) bool {
+		_, isChild := h.children[learned]
+		return learned == "" || isChild
+	}
+	next := Cursor{records: h.directory.Last(), reports: h.evidence.Last()}
+	return h.directory.Since(after.records, below), h.evidence.Since(after.reports, below), next
+}
+
+// Cursor is a position in a hub's own order of changes. The zero value is the
+// beginning.
+type Cursor struct {
+	records uint64
+	reports uint64
+}
+
+// Children returns the hosts that have reported lately and when.
+func (h *Hub) Children() map[string]time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	times := make(map[string]time.Time, len(h.children))
+	for name, c := range h.children {
+		times[name] = c.at
+	}
+	return times
+}
+
+// Ack returns the sum over this process and its children.
+func (h *Hub) Ack() Ack {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var sum Ack
+	if !h.config.Source {
+		sum = Ack{Daemons: 1, Low: h.state.Load().Revision(), Behind: []string{h.config.Host}}
+	}
+	for _, c := range h.children {
+		sum = sum.add(c.ack)
+	}
+	return sum
+}
+
+// Total returns the sum over this process, its children and, on a source
+// replica, those of the other replicas.
+func (h *Hub) Total() Ack {
+	sum := h.Ack()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, c := range h.siblings {
+		sum = sum.add(c.ack)
+	}
+	return sum
+}
+
+// TakeSibling takes in what another source replica says of the daemons below
+// it.
+func (h *Hub) TakeSibling(now time.Time, args ReportArgs) {
+	h.mutex.Lock()
+	h.siblings[args.Host] = child{ack: args.Ack, at: now}
+	h.mutex.Unlock()
+	h.Learn(now, args.Host, args.Records...)
+	h.MergeEvidence(args.Host, args.Reports...)
+}
+
+// MergeEvidence takes in reports, this process's own if from is "".
+func (h *Hub) MergeEvidence(from string, reports ...evidence.Report) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	news := false
+	for _, r := range reports {
+		news = h.evidence.Merge(from, r) || news
+	}
+	if news {
+		h.notify()
+	}
+}
+
+// Evidence returns the rows of a service, summed over all daemons.
+func (h *Hub) Evidence(service string) []evidence.Row {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.evidence.Service(service)
+}
+
+// KeepEvidence drops the evidence of services for which keep returns false.
+func (h *Hub) KeepEvidence(keep func(service string) bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.evidence.Keep(keep)
+}
--- /dev/null
+++ b/internal/feed/parent.go
@@ -0,0 +1,67 @@
+package feed
+
+import (
+	"errors"
+	"time"
+)
+
+const (
+	// staleAge is the age of the source's word at which a daemon looks for a
+	// parent that hears the source better.
+	staleAge = 2 * time.Second
+	// stalePenalty is how long a parent with old word is passed over.
+	stalePenalty = 3 * time.Second
+	backoffLeast = 50 * time.Millisecond
+	backoffMost  = 5 * time.Second
+)
+
+// parentChoice decides which parent to pull from. It reads no clock.
+type parentChoice struct {
+	failures map[string]failure
+}
+
+type failure struct {
+	count int
+	until time.Time
+}
+
+// choose returns the best candidate that may be asked at now, or how long to
+// wait until one may.
+func (p *parentChoice) choose(now time.Time, candidates []string) (address string, wait time.Duration) {
+	wait = backoffMost
+	for _, a := range candidates {
+		left := p.failures[a].until.Sub(now)
+		if left <= 0 {
+			return a, 0
+		}
+		wait = min(wait, left)
+	}
+	return "", wait
+}
+
+// result notes how a pull went. draw is a random number in [0, 1).
+func (p *parentChoice) result(now time.Time, address string, err error, draw float64) {
+	if p.failures == nil {
+		p.failures = map[string]failure{}
+	}
+	if err == nil {
+		delete(p.failures, address)
+		return
+	}
+	f := p.failures[address]
+	if errors.Is(err, errStale) {
+		f.until = now.Add(stalePenalty)
+	} else {
+		f.until = now.Add(backoff(f.count, draw))
+		f.count++
+	}
+	p.failures[address] = f
+}
+
+// backoff returns a delay that grows with the attempts made, with full jitter:
+// anything up to the bound is as likely, so that a herd does not come back at
+// once.
+func backoff(attempt int, draw float64) time.Duration {
+	bound := min(backoffLeast<<min(attempt, 10), backoffMost)
+	return time.Duration(draw * float64(bound))
+}
--- /dev/null
+++ b/internal/feed/pull.go
@@ -0,0 +1,258 @@
+package feed
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/catalog"
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/expand"
+	"github.com/endivewalk/endivewalk/internal/peer"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+const (
+	pullWait      = time.Second
+	pullTimeout   = 3 * time.Second
+	reportTimeout = time.Second
+	reportLeast   = 50 * time.Millisecond // Between two reports.
+	reportMost    = time.Second           // Also without news.
+	latestTimeout = 3 * time.Second
+	refusedPause  = time.Second
+)
+
+// ChildConfig describes a Child.
+type ChildConfig struct {
+	Host    string
+	Zone    string
+	Sources []string // Addresses of the source's replicas.
+	Shape   directory.Shape
+	Clock   func() time.Time
+	Draw    func() float64 // A random number in [0, 1), for jitter.
+	Dial    peer.Dial
+	Traffic *peer.Traffic
+	// Refused is called with a revision that does not pass the checks.
+	Refused func(config.Revision, error)
+	// Parent is called when the daemon turns to another parent.
+	Parent func(address string)
+}
+
+// Child pulls a daemon's configuration and directory from the best parent
+// there is and reports to it. Make one with NewChild.
+type Child struct {
+	config  ChildConfig
+	hub     *Hub
+	builder expand.Builder
+	mutex   sync.Mutex
+	clients map[string]*peer.Client
+	parent  string // The address of the present parent.
+	choice  parentChoice
+	floor   atomic.Uint64 // One more than the confirmed floor; 0 if unknown.
+	whole   bool          // The next pull asks for a whole state.
+
+	instance uint64 // Of the parent, with the index known of it.
+	index    uint64
+	stop     chan struct{}
+}
+
+// NewChild returns a child that keeps hub up to date.
+func NewChild(c ChildConfig, hub *Hub) *Child {
+	return &Child{config: c, hub: hub, clients: map[string]*peer.Client{}, stop: make(chan struct{})}
+}
+
+// Ready reports whether the daemon holds at least what the source's quorum had
+// accepted when the daemon started. Before that it might hold less than it
+// served in an earlier life, so it must not serve.
+func (c *Child) Ready() bool {
+	floor := c.floor.Load()
+	return floor > 0 && uint64(c.hub.State().Revision())+1 >= floor
+}
+
+// Parent returns the address of the present parent.
+func (c *Child) Parent() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.parent
+}
+
+// Stop ends the duties.
+func (c *Child) Stop() {
+	close(c.stop)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, one := range c.clients {
+		one.Close()
+	}
+}
+
+func (c *Child) client(address string) *peer.Client {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	one := c.clients[address]
+	if one == nil {
+		one = peer.NewClient(address, c.config.Dial, c.config.Traffic)
+		c.clients[address] = one
+	}
+	return one
+}
+
+func (c *Child) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c.stop:
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// RunFloor asks the source for the newest accepted revision until it is
+// confirmed once.
+func (c *Child) RunFloor() {
+	for attempt := 0; ; attempt++ {
+		for _, address := range directory.PreferSources(c.config.Sources, c.config.Host, c.config.Zone) {
+			var reply LatestReply
+			err := c.client(address).Call("Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout)
+			if err == nil {
+				c.floor.Store(uint64(reply.Revision) + 1)
+				return
+			}
+		}
+		if !c.pause(backoff(attempt, c.config.Draw())) {
+			return
+		}
+	}
+}
+
+// RunPull pulls until Stop.
+func (c *Child) RunPull() {
+	for {
+		now := c.config.Clock()
+		address, wait := c.choice.choose(now, c.candidates())
+		if wait > 0 {
+			if !c.pause(wait) {
+				return
+			}
+			continue
+		}
+		c.turnTo(address)
+		wait, err := c.pullOnce(address)
+		c.choice.result(c.config.Clock(), address, err, c.config.Draw())
+		if !c.pause(wait) {
+			return
+		}
+	}
+}
+
+// candidates returns the addresses to pull from, best first.
+func (c *Child) candidates() []string {
+	var all []string
+	for _, r := range c.config.Shape.Parents(c.hub.View().Live(), c.config.Host, c.config.Zone) {
+		all = append(all, r.Peer)
+	}
+	return append(all, directory.PreferSources(c.config.Sources, c.config.Host, c.config.Zone)...)
+}
+
+// turnTo makes address the parent and takes leave of the old one.
+func (c *Child) turnTo(address string) {
+	c.mutex.Lock()
+	old := c.parent
+	c.parent = address
+	c.mutex.Unlock()
+	if old == address {
+		return
+	}
+	c.instance, c.index = 0, 0
+	if c.config.Parent != nil {
+		c.config.Parent(address)
+	}
+	if old != "" {
+		go c.client(old).Call("Feed.Report", ReportArgs{Host: c.config.Host, Leaving: true}, &ReportReply{}, reportTimeout)
+	}
+}
+
+var errStale = errors.New("feed: the parent has not heard of the source's leader lately")
+
+// pullOnce asks a parent once. It returns how long to wait before the next
+// pull.
+func (c *Child) pullOnce(address string) (time.Duration, error) {
+	state := c.hub.State()
+	args := PullArgs{
+		Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest(),
+		Instance: c.instance, Index: c.index, Records: c.hub.RecordsDigest(), Wait: pullWait,
+	}
+	if c.whole {
+		args.Have = 0
+	}
+	var reply PullReply
+	if err := c.client(address).Call("Feed.Pull", args, &reply, pullTimeout); err != nil {
+		return 0, err
+	}
+	now := c.config.Clock()
+	c.instance, c.index = reply.Instance, reply.Index
+	c.hub.Learn(now, address, reply.Records...)
+	c.hub.Hear(now.Add(-reply.Age))
+	if reply.Delta != nil && !c.take(*reply.Delta) {
+		return refusedPause, nil
+	}
+	if reply.Age > staleAge {
+		return reply.Busy, errStale
+	}
+	return reply.Busy, nil
+}
+
+// take puts a delta in force, all of it or nothing.
+func (c *Child) take(d catalog.Delta) bool {
+	next, err := c.hub.State().Catalog().Apply(d)
+	if err != nil {
+		c.whole = !d.Whole
+		c.hub.config.Counters.Add("feed_deltas_mismatched", 1)
+		return !d.Whole
+	}
+	c.whole = false
+	table, err := c.builder.Build(next.Revision(), next.Objects())
+	if err != nil {
+		c.hub.config.Counters.Add("revisions_refused", 1)
+		if c.config.Refused != nil {
+			c.config.Refused(next.Revision(), err)
+		}
+		return false
+	}
+	c.hub.Publish(next, table)
+	return true
+}
+
+// RunReport tells the parent what changed at and below this daemon.
+func (c *Child) RunReport() {
+	var cursor Cursor
+	last := ""
+	for c.pause(reportLeast) {
+		wake := c.hub.Wake()
+		if parent := c.Parent(); parent != "" {
+			if parent != last {
+				cursor = Cursor{}
+				last = parent
+			}
+			cursor = c.reportOnce(parent, cursor)
+		}
+		t := time.NewTimer(reportMost)
+		select {
+		case <-c.stop:
+		case <-wake:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (c *Child) reportOnce(parent string, cursor Cursor) Cursor {
+	records, reports, next := c.hub.ChangesBelow(cursor)
+	args := ReportArgs{Host: c.config.Host, Ack: c.hub.Ack(), Records: records, Reports: reports}
+	if c.client(parent).Call("Feed.Report", args, &ReportReply{}, reportTimeout) != nil {
+		return cursor
+	}
+	return next
+}
--- /dev/null
+++ b/internal/feed/serve.go
@@ -0,0 +1,178 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+const (
+	maxWait = 5 * time.Second
+	// gather is how long directory news are held back to travel together.
+	// Configuration is never held back.
+	gather = 20 * time.Millisecond
+	// wholePerSecond bounds how many whole states a process hands out.
+	wholePerSecond = 50
+	// wholeSmall is how many objects a state may have to be handed out without
+	// bound.
+	wholeSmall = 64
+)
+
+// Service answers the calls of children. Its exported methods are those of
+// net/rpc.
+type Service struct {
+	hub    *Hub
+	clock  func() time.Time
+	latest func() (config.Revision, error)
+}
+
+// NewService returns the service of a hub. latest confirms the newest revision
+// with a quorum; it is nil on daemons.
+func NewService(h *Hub, clock func() time.Time, latest func() (config.Revision, error)) *Service {
+	return &Service{hub: h, clock: clock, latest: latest}
+}
+
+// Pull waits for something newer than the child has.
+func (s *Service) Pull(args PullArgs, reply *PullReply) error {
+	if !config.ValidName(args.Host) || args.Wait < 0 {
+		s.hub.config.Counters.Add("feed_bad_messages", 1)
+		return ErrBadMessage
+	}
+	deadline := time.NewTimer(min(args.Wait, maxWait))
+	defer deadline.Stop()
+	for {
+		wake := s.hub.Wake()
+		*reply = s.hub.answer(s.clock(), args)
+		if reply.Delta != nil || reply.Busy > 0 {
+			return nil
+		}
+		if len(reply.Records) > 0 {
+			time.Sleep(gather)
+			*reply = s.hub.answer(s.clock(), args)
+			return nil
+		}
+		select {
+		case <-wake:
+		case <-deadline.C:
+			return nil
+		}
+	}
+}
+
+// answer returns what is newer than the child has at this moment.
+func (h *Hub) answer(now time.Time, args PullArgs) PullReply {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	reply := PullReply{Instance: h.config.Instance, Index: h.directory.Last(), Age: now.Sub(h.heard)}
+	switch {
+	case args.Records == h.directory.Digest():
+	case args.Instance == h.config.Instance:
+		reply.Records = h.directory.Since(args.Index, func(learned string) bool { return learned != args.Host })
+	default:
+		reply.Records = h.directory.Since(0, func(string) bool { return true })
+	}
+	c := h.state.Load().catalog
+	if c.Revision() <= args.Have {
+		return reply
+	}
+	d := c.Delta(args.Have, args.Digest)
+	if d.Whole && c.Len() > wholeSmall {
+		if wait := h.transfers.admit(now); wait > 0 {
+			h.config.Counters.Add("feed_whole_deferred", 1)
+			reply.Busy = wait
+			return reply
+		}
+	}
+	if d.Whole {
+		h.config.Counters.Add("feed_whole_sent", 1)
+	}
+	h.config.Counters.Add("feed_deltas_sent", 1)
+	reply.Delta = &d
+	return reply
+}
+
+// Report takes in what a child says of itself and those below it.
+func (s *Service) Report(args ReportArgs, _ *ReportReply) error {
+	if !config.ValidName(args.Host) {
+		s.hub.config.Counters.Add("feed_bad_messages", 1)
+		return ErrBadMessage
+	}
+	s.hub.takeReport(s.clock(), args)
+	return nil
+}
+
+func (h *Hub) takeReport(now time.Time, args ReportArgs) {
+	h.mutex.Lock()
+	old := h.children[args.Host]
+	changed := args.Leaving || old.ack.Low != args.Ack.Low || old.ack.Daemons != args.Ack.Daemons
+	if args.Leaving {
+		delete(h.children, args.Host)
+	} else {
+		h.children[args.Host] = child{ack: args.Ack, at: now}
+	}
+	if changed {
+		h.notify()
+	}
+	h.mutex.Unlock()
+	h.Learn(now, args.Host, args.Records...)
+	h.MergeEvidence(args.Host, args.Reports...)
+}
+
+// Latest confirms the newest accepted revision. Only source replicas can.
+func (s *Service) Latest(_ LatestArgs, reply *LatestReply) error {
+	if s.latest == nil {
+		return ErrNotSource
+	}
+	r, err := s.latest()
+	reply.Revision = r
+	return err
+}
+
+// Compare returns the records in which two daemons differ.
+func (s *Service) Compare(args CompareArgs, reply *CompareReply) error {
+	if !config.ValidName(args.Host) || len(args.Buckets) != directory.BucketCount {
+		s.hub.config.Counters.Add("feed_bad_messages", 1)
+		return ErrBadMessage
+	}
+	s.hub.mutex.Lock()
+	defer s.hub.mutex.Unlock()
+	reply.Have = s.hub.state.Load().Revision()
+	reply.Records = s.hub.directory.Differing(args.Buckets)
+	return nil
+}
+
+// Buckets returns the digests that Compare takes.
+func (h *Hub) Buckets() []directory.Digest {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.directory.Buckets()
+}
+
+// RecordsDigest identifies the directory.
+func (h *Hub) RecordsDigest() directory.Digest {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.directory.Digest()
+}
+
+// admission bounds how many whole states are handed out in a second.
+type admission struct {
+	window time.Time
+	count  int
+}
+
+// admit returns zero if a whole state may go out at now, and otherwise how
+// long the child should wait. Later askers are told longer times, so that a
+// herd comes back spread out.
+func (a *admission) admit(now time.Time) time.Duration {
+	if now.Sub(a.window) >= time.Second {
+		a.window = now
+		a.count = 0
+	}
+	a.count++
+	if a.count <= wholePerSecond {
+		return 0
+	}
+	return time.Duration(a.count) * time.Second / wholePerSecond
+}
--- /dev/null
+++ b/internal/localhttp/api.go
@@ -0,0 +1,97 @@
+// Package localhttp answers, on a daemon's local address, the upstreams that
+// announce themselves and whoever looks at the daemon.
+package localhttp
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/internal/httpapi"
+	"github.com/endivewalk/endivewalk/internal/upstream"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// Config describes the interface.
+type Config struct {
+	Gate     *upstream.Gate
+	Clock    func() time.Time
+	Status   func(now time.Time) Status
+	Events   *event.Ring
+	Counters *count.Set
+}
+
+// Status tells how a daemon is.
+type Status struct {
+	Host      string               `json:"host"`
+	Zone      string               `json:"zone"` // The daemon's data centre.
+	Revision  config.Revision      `json:"revision"`
+	Digest    uint64               `json:"digest"` // Of the expanded routes.
+	Ready     bool                 `json:"ready"`  // Calls are served.
+	AgeMillis int64                `json:"ageMillis"`
+	Parent    string               `json:"parent"`
+	Known     int                  `json:"known"` // Daemons in the directory.
+	Loads     map[string]call.Load `json:"loads"`
+}
+
+type api struct{ Config }
+
+// New returns the handler.
+func New(c Config) (http.Handler, error) {
+	a := &api{c}
+	app := httpapi.New()
+	app.Post("/v1/upstreams", a.announce)
+	app.Get("/v1/upstreams", a.list)
+	app.Post("/v1/upstreams/{id}/drain", a.drain)
+	app.Delete("/v1/upstreams/{id}", a.leave)
+	app.Get("/v1/status", a.status)
+	httpapi.ShowProcess(app, c.Events, c.Counters)
+	return httpapi.Handler(app)
+}
+
+// announce takes in an announcement, which is also how a lease is renewed.
+func (a *api) announce(ctx iris.Context) {
+	var body upstream.Announcement
+	if err := httpapi.ReadBody(ctx, &body); err != nil {
+		a.Counters.Add("announcements_refused", 1)
+		httpapi.BadBody(ctx, err)
+		return
+	}
+	if err := a.Gate.Announce(a.Clock(), body); err != nil {
+		httpapi.Fail(ctx, http.StatusUnprocessableEntity, err)
+		return
+	}
+	httpapi.Answer(ctx, http.StatusOK, body)
+}
+
+func (a *api) list(ctx iris.Context) {
+	httpapi.Answer(ctx, http.StatusOK, a.Gate.Upstreams())
+}
+
+func (a *api) drain(ctx iris.Context) {
+	a.answer(ctx, a.Gate.Drain(a.Clock(), ctx.Params().Get("id")))
+}
+
+func (a *api) leave(ctx iris.Context) {
+	a.answer(ctx, a.Gate.Leave(a.Clock(), ctx.Params().Get("id")))
+}
+
+func (a *api) answer(ctx iris.Context, err error) {
+	switch {
+	case errors.Is(err, upstream.ErrAbsent):
+		httpapi.Fail(ctx, http.StatusNotFound, err)
+	case err != nil:
+		httpapi.Fail(ctx, http.StatusInternalServerError, err)
+	default:
+		httpapi.Answer(ctx, http.StatusOK, struct{}{})
+	}
+}
+
+func (a *api) status(ctx iris.Context) {
+	httpapi.Answer(ctx, http.StatusOK, a.Status(a.Clock()))
+}
--- /dev/null
+++ b/internal/move/judge.go
@@ -0,0 +1,168 @@
+// Package move decides how traffic moves to a new version of a service.
+//
+// The decision is a function of the present time, the evidence and a policy;
+// nothing here reads a clock or does I/O.
+package move
+
+import (
+	"math"
+	"slices"
+
+	"github.com/endivewalk/endivewalk/internal/evidence"
+)
+
+// ratios are the odds, new version against old, at which bad calls are bet
+// upon. The bets are mixed with equal weight.
+var ratios = []float64{1.5, 2, 4, 16, 64}
+
+// wealth is the outcome of betting that bad calls are more likely in the new
+// version than in the old one. If they are not, its mean never exceeds one,
+// however often it is looked at, so that it exceeds a bound 1/a with a
+// probability of at most a.
+//
+// Each bad call is a bet: given that one happened among n new and m old calls,
+// it is the new version's with a probability of n/(n+m) if both are alike.
+type wealth [5]float64 // Logarithms, one for each ratio.
+
+// bet takes in the calls of one interval.
+func (w *wealth) bet(newCalls, newBad, oldCalls, oldBad int64) {
+	if newCalls <= 0 || oldCalls <= 0 || newBad+oldBad == 0 {
+		return
+	}
+	p := float64(newCalls) / float64(newCalls+oldCalls)
+	for i, r := range ratios {
+		q := r * p / (r*p + 1 - p)
+		w[i] += float64(newBad)*math.Log(q/p) + float64(oldBad)*math.Log((1-q)/(1-p))
+	}
+}
+
+// value returns the mixed outcome.
+func (w *wealth) value() float64 {
+	sum := 0.0
+	for _, l := range w {
+		sum += math.Exp(min(l, 700))
+	}
+	return sum / float64(len(w))
+}
+
+// counts sums rows of one kind.
+type counts struct {
+	calls   int64
+	failed  int64
+	latency [evidence.Buckets]int64
+}
+
+func (c *counts) add(r evidence.Row) {
+	c.calls += r.Calls
+	c.failed += r.Failed
+	for i, n := range r.Latency {
+		c.latency[i] += n
+	}
+}
+
+func (c counts) minus(o counts) counts {
+	c.calls -= o.calls
+	c.failed -= o.failed
+	for i, n := range o.latency {
+		c.latency[i] -= n
+	}
+	return c
+}
+
+// valid reports whether a difference of counts can be used. A daemon that
+// starts anew counts from zero, so that sums can fall.
+func (c counts) valid() bool {
+	return c.calls >= 0 && c.failed >= 0 && !slices.ContainsFunc(c.latency[:], negative)
+}
+
+func negative(n int64) bool { return n < 0 }
+
+// over returns the answered calls, and those that took longer than bucket b.
+func (c counts) over(b int) (answered, slow int64) {
+	for i, n := range c.latency {
+		answered += n
+		if i > b {
+			slow += n
+		}
+	}
+	return answered, slow
+}
+
+// quantileBucket returns the bucket below which a part q of the answers lies.
+func (c counts) quantileBucket(q float64) int {
+	answered, _ := c.over(evidence.Buckets)
+	seen := int64(0)
+	for i, n := range c.latency {
+		seen += n
+		if float64(seen) >= q*float64(answered) {
+			return i
+		}
+	}
+	return evidence.Buckets - 1
+}
+
+// slowQuantile is the part of the old version's answers that are taken as of
+// ordinary speed.
+const slowQuantile = 0.9
+
+// margin is how many buckets, of half an octave each, slower than that an
+// answer must be to count as slow.
+const margin = 1
+
+// trial compares the two versions on one route, or on one host of the new
+// version.
+type trial struct {
+	last    [2]counts // Old and new, at the last look.
+	total   [2]counts
+	failing wealth
+	slow    wealth
+	gate    int // The bucket above which an answer is slow; -1 at first.
+}
+
+func newTrial() *trial { return &trial{gate: -1} }
+
+// look takes in the newest sums of both versions.
+func (t *trial) look(now [2]counts) {
+	var step [2]counts
+	for i := range now {
+		step[i] = now[i].minus(t.last[i])
+		if !step[i].valid() {
+			step[i] = counts{}
+		}
+		t.total[i].merge(step[i])
+	}
+	t.last = now
+	t.failing.bet(step[1].calls, step[1].failed, step[0].calls, step[0].failed)
+	if t.gate >= 0 {
+		newAnswered, newSlow := step[1].over(t.gate)
+		oldAnswered, oldSlow := step[0].over(t.gate)
+		t.slow.bet(newAnswered, newSlow, oldAnswered, oldSlow)
+	}
+	// The gate for the next interval is set by what was seen before it, so that
+	// the bets stay fair.
+	if answered, _ := t.total[0].over(evidence.Buckets); answered >= gateCalls {
+		t.gate = t.total[0].quantileBucket(slowQuantile) + margin
+	}
+}
+
+// gateCalls is how many answers of the old version are needed to tell slow
+// from ordinary ones.
+const gateCalls = 20
+
+func (c *counts) merge(o counts) {
+	c.calls += o.calls
+	c.failed += o.failed
+	for i, n := range o.latency {
+		c.latency[i] += n
+	}
+}
+
+// strength returns the evidence against the new version, as odds, and what it
+// is that speaks against it.
+func (t *trial) strength() (float64, string) {
+	failing, slow := t.failing.value(), t.slow.value()
+	if slow > failing {
+		return slow, "slow"
+	}
+	return failing, "failing"
+}
--- /dev/null
+++ b/internal/source/describe.go
@@ -0,0 +1,31 @@
+package source
+
+import (
+	"fmt"
+
+	"github.com/endivewalk/endivewalk/internal/ledger"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// describe names a command for the time line.
+func describe(c ledger.Command) (kind, subject string) {
+	switch {
+	case c.Begin != nil:
+		return "move", c.Begin.Service
+	case c.Step != nil:
+		return "step", c.Step.Service
+	default:
+		return "change", ""
+	}
+}
+
+func stepText(s *ledger.Step) string {
+	switch s.State {
+	case config.MoveDone:
+		return "done: " + s.Reason
+	case config.MoveTakenBack:
+		return "taken back: " + s.Reason
+	default:
+		return fmt.Sprintf("share %.1f %%: %s", float64(s.Share)/10, s.Reason)
+	}
+}
--- /dev/null
+++ b/internal/source/mover.go
@@ -0,0 +1,102 @@
+package source
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/ledger"
+	"github.com/endivewalk/endivewalk/internal/move"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+const (
+	movePause   = 100 * time.Millisecond
+	stepTimeout = 2 * time.Second
+	moverName   = "endivewalk" // The operator in whose name steps are taken.
+)
+
+// judged is the judge of one move, and the revision of the last step decided
+// upon.
+type judged struct {
+	judge   *move.Judge
+	start   time.Time
+	decided config.Revision
+}
+
+// runMover decides the steps of moves while this replica leads.
+func (n *Node) runMover() {
+	judges := map[string]*judged{}
+	for n.pause(movePause) {
+		if !n.IsLeader() {
+			clear(judges)
+			continue
+		}
+		running := map[string]bool{}
+		for _, m := range n.Moves() {
+			if m.State == config.MoveRunning {
+				running[m.Service] = true
+				n.decideMove(judges, m)
+			}
+		}
+		n.hub.KeepEvidence(func(service string) bool { return running[service] })
+	}
+}
+
+// Moves returns the newest move of each service.
+func (n *Node) Moves() []ledger.MoveAt {
+	state := n.hub.State()
+	var all []ledger.MoveAt
+	for _, e := range state.Catalog().Entries() {
+		if e.Object.Key.Kind() != config.KindMove {
+			continue
+		}
+		if m, ok := state.Table().Move(e.Object.Key.Name()); ok {
+			all = append(all, ledger.MoveAt{Move: m, Revision: e.Revision})
+		}
+	}
+	return all
+}
+
+func (n *Node) decideMove(judges map[string]*judged, m ledger.MoveAt) {
+	j := judges[m.Service]
+	if j == nil || !j.start.Equal(m.Start) {
+		j = &judged{judge: move.NewJudge(n.config.Policy), start: m.Start}
+		judges[m.Service] = j
+	}
+	service, _ := n.hub.State().Table().Service(m.Service)
+	j.judge.Observe(m.Move, n.hub.Evidence(m.Service))
+	d := j.judge.Decide(n.config.Clock(), m.Move, n.readySlots(m.Move), service.Deadline)
+	if d.State == m.State && d.Share == m.Share && d.Reason == m.Reason {
+		return
+	}
+	if j.decided == m.Revision {
+		return // That step is on its way.
+	}
+	j.decided = m.Revision
+	command := ledger.Command{
+		Request:  fmt.Sprintf("step-%s-%d-%d-%s", m.Service, m.Revision, d.Share, d.State),
+		Operator: moverName,
+		Step: &ledger.Step{
+			Service: m.Service, Replaces: m.Revision, Share: d.Share, State: d.State,
+			Reason: d.Reason, Touched: d.Touched, Failed: d.Failed,
+		},
+	}
+	if _, err := n.Propose(command, n.config.Clock().Add(stepTimeout)); err != nil {
+		j.decided = 0
+	}
+}
+
+// readySlots returns how many slots of the old and the new version take work.
+func (n *Node) readySlots(m config.Move) [2]int {
+	count := func(version string) int {
+		slots := 0
+		for _, t := range n.hub.View().Targets(m.Service, version) {
+			if t.State == directory.StateReady {
+				slots += t.Slots
+			}
+		}
+		return slots
+	}
+	return [2]int{count(m.From), count(m.To)}
+}
--- /dev/null
+++ b/internal/source/node.go
@@ -0,0 +1,304 @@
+package source
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/ledger"
+	"github.com/endivewalk/endivewalk/internal/peer"
+	"github.com/endivewalk/endivewalk/internal/quorum"
+	"github.com/endivewalk/endivewalk/internal/ring"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// Node is a running source replica. It is safe for concurrent use. Make one
+// with Start.
+type Node struct {
+	config  Config
+	id      string
+	hub     *feed.Hub
+	agree   *agreement
+	server  *peer.Server
+	traffic peer.Traffic
+	clients map[string]*peer.Client // By member name.
+	outbox  map[string]*ring.Ring[quorum.Message]
+	leader  atomic.Value // A member name, or "".
+	stop    chan struct{}
+	duties  sync.WaitGroup
+}
+
+const outboxRing = 1024
+
+// Start opens the data folder and begins to serve.
+func Start(c Config) (*Node, error) {
+	c = c.withDefaults()
+	n := &Node{config: c, clients: map[string]*peer.Client{}, outbox: map[string]*ring.Ring[quorum.Message]{}, stop: make(chan struct{})}
+	n.leader.Store("")
+	for _, m := range c.Members {
+		if m.Name != c.Name {
+			n.clients[m.Name] = peer.NewClient(m.Address, c.Dial, &n.traffic)
+			n.outbox[m.Name] = ring.New[quorum.Message](outboxRing)
+		}
+	}
+	store, id, start, err := openFolder(c, n.groupExists)
+	if err != nil {
+		return nil, err
+	}
+	n.id = id
+	now := c.Clock()
+	n.hub = feed.NewHub(feed.HubConfig{Host: c.Name, Instance: uint64(now.UnixNano()), Source: true, Counters: c.Counters})
+	if n.agree, err = newAgreement(n, store, id, start, now); err != nil {
+		store.Close()
+		return nil, err
+	}
+	if err := n.listen(); err != nil {
+		store.Close()
+		return nil, err
+	}
+	n.publishGauges()
+	n.startDuties()
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	server, err := peer.Listen(n.config.Listen, &n.traffic)
+	if err != nil {
+		return err
+	}
+	n.server = server
+	services := map[string]any{
+		"Quorum": &quorumService{node: n},
+		"Source": &sourceService{node: n},
+		"Feed":   feed.NewService(n.hub, n.config.Clock, n.Latest),
+	}
+	for name, s := range services {
+		if err := server.Register(name, s); err != nil {
+			server.Close()
+			return err
+		}
+	}
+	return nil
+}
+
+// startDuties starts one goroutine for each duty.
+func (n *Node) startDuties() {
+	n.goDuty(func() { n.agree.run(n.stop) })
+	n.goDuty(n.server.Serve)
+	n.goDuty(n.runExchange)
+	n.goDuty(n.runMover)
+	n.goDuty(n.runJoin)
+	for name, box := range n.outbox {
+		n.goDuty(func() { n.runOutbox(n.clients[name], box) })
+	}
+}
+
+func (n *Node) goDuty(duty func()) {
+	n.duties.Add(1)
+	go func() {
+		defer n.duties.Done()
+		duty()
+	}()
+}
+
+func (n *Node) publishGauges() {
+	c := n.config.Counters
+	c.Gauge("control_bytes_sent", func() any { return n.traffic.Sent() })
+	c.Gauge("control_bytes_received", func() any { return n.traffic.Received() })
+	c.Gauge("revision", func() any { return n.hub.State().Revision() })
+	c.Gauge("inputs_shed", func() any { return n.agree.inputs.Shed() })
+	for name, box := range n.outbox {
+		c.Gauge("outbox_shed_"+name, func() any { return box.Shed() })
+	}
+}
+
+// Stop ends all duties and closes the disk.
+func (n *Node) Stop() {
+	close(n.stop)
+	n.server.Close()
+	for _, c := range n.clients {
+		c.Close()
+	}
+	n.duties.Wait()
+}
+
+// Hub returns what the replica knows and passes on.
+func (n *Node) Hub() *feed.Hub { return n.hub }
+
+// Address returns the address for other processes.
+func (n *Node) Address() string { return n.server.Address() }
+
+// Traffic returns the replica's control traffic.
+func (n *Node) Traffic() *peer.Traffic { return &n.traffic }
+
+// Leader returns the name of the leader as far as this replica knows, or "".
+func (n *Node) Leader() string { return n.leader.Load().(string) }
+
+// IsLeader reports whether this replica believes that it leads.
+func (n *Node) IsLeader() bool { return n.Leader() == n.config.Name }
+
+func (n *Node) setLeader(name string) { n.leader.Store(name) }
+
+// send hands a message to the duty that calls that member. A full ring sheds;
+// the agreement repeats what matters.
+func (n *Node) send(m quorum.Message) {
+	if box := n.outbox[memberName(m.To)]; box != nil {
+		box.Offer(m)
+	}
+}
+
+const outboxBatch = 64
+
+// runOutbox sends messages to one member, as many at once as wait.
+func (n *Node) runOutbox(c *peer.Client, box *ring.Ring[quorum.Message]) {
+	for {
+		select {
+		case <-n.stop:
+			return
+		case m := <-box.Out():
+			batch := drainMessages(m, box)
+			timeout := 2 * n.config.Timing.Election
+			if err := c.Call("Quorum.Step", StepArgs{Messages: batch}, &StepReply{}, timeout); err != nil {
+				n.config.Counters.Add("quorum_calls_failed", 1)
+				n.pause(n.config.Timing.Heartbeat)
+			}
+		}
+	}
+}
+
+func drainMessages(first quorum.Message, box *ring.Ring[quorum.Message]) []quorum.Message {
+	batch := []quorum.Message{first}
+	for len(batch) < outboxBatch {
+		select {
+		case m := <-box.Out():
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// pause waits for d and returns false if the node stops meanwhile.
+func (n *Node) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-n.stop:
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+const (
+	proposeTimeout = 2 * time.Second
+	retryPause     = 25 * time.Millisecond
+)
+
+// Propose has a command decided and waits for its outcome until deadline. It
+// may be called on any replica; a request sent again gets the first answer.
+func (n *Node) Propose(c ledger.Command, deadline time.Time) (ledger.Outcome, error) {
+	unknown := false
+	for {
+		out, err := n.proposeOnce(c)
+		if err == nil || isFinal(err) {
+			return out, err
+		}
+		unknown = unknown || mayHaveBeenTaken(err)
+		if n.config.Clock().Add(retryPause).After(deadline) || !n.pause(retryPause) {
+			break
+		}
+	}
+	if unknown {
+		return ledger.Outcome{}, ErrUnknown
+	}
+	return ledger.Outcome{}, ErrNoLeader
+}
+
+func (n *Node) proposeOnce(c ledger.Command) (ledger.Outcome, error) {
+	leader := n.Leader()
+	if leader == n.config.Name {
+		return n.proposeHere(c)
+	}
+	client := n.clients[leader]
+	if client == nil {
+		return ledger.Outcome{}, ErrNoLeader
+	}
+	var reply ProposeReply
+	if err := client.Call("Source.Propose", ProposeArgs{Command: c}, &reply, proposeTimeout); err != nil {
+		return ledger.Outcome{}, err
+	}
+	return reply.Outcome, reply.Code.err()
+}
+
+// proposeHere decides a command on this replica, which must lead.
+func (n *Node) proposeHere(c ledger.Command) (ledger.Outcome, error) {
+	done := make(chan proposeResult, 1)
+	if !n.agree.inputs.Offer(input{propose: &proposal{command: c, done: done}}) {
+		return ledger.Outcome{}, ErrBusy
+	}
+	t := time.NewTimer(proposeTimeout)
+	defer t.Stop()
+	select {
+	case r := <-done:
+		return r.outcome, r.err
+	case <-t.C:
+	case <-n.stop:
+	}
+	return ledger.Outcome{}, ErrUnknown
+}
+
+// Latest returns the newest accepted revision, confirmed by a quorum after the
+// call began.
+func (n *Node) Latest() (config.Revision, error) {
+	leader := n.Leader()
+	if leader == n.config.Name {
+		return n.latestHere()
+	}
+	client := n.clients[leader]
+	if client == nil {
+		return 0, feed.ErrUnconfirmed
+	}
+	var reply feed.LatestReply
+	err := client.Call("Source.Latest", feed.LatestArgs{Host: n.config.Name}, &reply, proposeTimeout)
+	if err != nil {
+		return 0, feed.ErrUnconfirmed
+	}
+	return reply.Revision, nil
+}
+
+func (n *Node) latestHere() (config.Revision, error) {
+	done := make(chan readResult, 1)
+	if !n.agree.inputs.Offer(input{read: done}) {
+		return 0, ErrBusy
+	}
+	t := time.NewTimer(proposeTimeout)
+	defer t.Stop()
+	select {
+	case r := <-done:
+		return r.revision, r.err
+	case <-t.C:
+	case <-n.stop:
+	}
+	return 0, feed.ErrUnconfirmed
+}
+
+// Look runs f in the agreement's goroutine, so that it sees one moment.
+func (n *Node) look(f func(*agreement)) bool {
+	done := make(chan struct{})
+	wrapped := func(a *agreement) {
+		f(a)
+		close(done)
+	}
+	if !n.agree.inputs.Offer(input{look: wrapped}) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-n.stop:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/source/service.go
@@ -0,0 +1,139 @@
+package source
+
+import (
+	"errors"
+
+	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/ledger"
+	"github.com/endivewalk/endivewalk/internal/peer"
+	"github.com/endivewalk/endivewalk/internal/quorum"
+)
+
+// StepArgs carries messages of the agreement.
+type StepArgs struct{ Messages []quorum.Message }
+
+// StepReply carries nothing; a call without error was taken in.
+type StepReply struct{}
+
+// quorumService takes in messages of the agreement.
+type quorumService struct{ node *Node }
+
+// Step hands messages to the agreement. What the ring can't hold is lost, as
+// on a network.
+func (s *quorumService) Step(args StepArgs, _ *StepReply) error {
+	for i := range args.Messages {
+		m := &args.Messages[i]
+		if s.node.clients[memberName(m.From)] == nil {
+			s.node.config.Counters.Add("quorum_bad_messages", 1)
+			continue
+		}
+		s.node.agree.inputs.Offer(input{message: m})
+	}
+	return nil
+}
+
+// Code stands for an error on the wire, where only its identity survives.
+type Code uint8
+
+// The codes, in the order of codeErrors.
+const (
+	CodeOK Code = iota
+	CodeNoLeader
+	CodeUnknown
+	CodeDiskFull
+	CodeBusy
+)
+
+var codeErrors = []error{nil, ErrNoLeader, ErrUnknown, ErrDiskFull, ErrBusy}
+
+func codeOf(err error) Code {
+	for i, e := range codeErrors {
+		if errors.Is(err, e) {
+			return Code(i)
+		}
+	}
+	return CodeUnknown
+}
+
+func (c Code) err() error {
+	if int(c) < len(codeErrors) {
+		return codeErrors[c]
+	}
+	return ErrUnknown
+}
+
+// isFinal reports whether trying again soon won't help.
+func isFinal(err error) bool {
+	return errors.Is(err, ErrDiskFull)
+}
+
+// mayHaveBeenTaken reports whether a change may be accepted in spite of err.
+func mayHaveBeenTaken(err error) bool {
+	return !errors.Is(err, ErrNoLeader) && !errors.Is(err, ErrBusy) && !errors.Is(err, peer.ErrUnreachable)
+}
+
+// ProposeArgs forwards a command to the leader.
+type ProposeArgs struct{ Command ledger.Command }
+
+// ProposeReply carries the outcome, or why there is none.
+type ProposeReply struct {
+	Outcome ledger.Outcome
+	Code    Code
+}
+
+// sourceService answers other source replicas.
+type sourceService struct{ node *Node }
+
+// Propose decides a command if this replica leads.
+func (s *sourceService) Propose(args ProposeArgs, reply *ProposeReply) error {
+	out, err := s.node.proposeHere(args.Command)
+	reply.Outcome = out
+	reply.Code = codeOf(err)
+	return nil
+}
+
+// Latest confirms the newest revision if this replica leads.
+func (s *sourceService) Latest(_ feed.LatestArgs, reply *feed.LatestReply) error {
+	r, err := s.node.latestHere()
+	reply.Revision = r
+	return err
+}
+
+// Exchange takes in what another replica knows of its daemons.
+func (s *sourceService) Exchange(args feed.ReportArgs, reply *ExchangeReply) error {
+	if s.node.clients[args.Host] == nil {
+		s.node.config.Counters.Add("feed_bad_messages", 1)
+		return feed.ErrBadMessage
+	}
+	s.node.hub.TakeSibling(s.node.config.Clock(), args)
+	reply.Instance = s.node.hub.Instance()
+	return nil
+}
+
+// ExchangeReply tells which run of the replica took an exchange in.
+type ExchangeReply struct{ Instance uint64 }
+
+// Exists tells whether this replica belongs to a group that has begun.
+func (s *sourceService) Exists(_ ExistsArgs, reply *ExistsReply) error {
+	s.node.look(func(a *agreement) {
+		reply.Exists = a.core.Commit() > 0 || a.core.Last() > 0
+	})
+	return nil
+}
+
+// ExistsArgs asks whether the group has begun.
+type ExistsArgs struct{}
+
+// ExistsReply answers ExistsArgs.
+type ExistsReply struct{ Exists bool }
+
+// groupExists asks the other members whether the group has begun.
+func (n *Node) groupExists() bool {
+	for _, c := range n.clients {
+		var reply ExistsReply
+		if c.Call("Source.Exists", ExistsArgs{}, &reply, existsTimeout) == nil && reply.Exists {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/upstream/gate.go
@@ -0,0 +1,244 @@
+package upstream
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// Errors that callers test with errors.Is.
+var (
+	ErrInvalid = errs.New("upstream: invalid announcement")
+	ErrAbsent  = errs.New("upstream: no such upstream has announced itself here")
+)
+
+// Announcement is what an upstream says of itself. It has to be renewed before
+// the lease ends.
+type Announcement struct {
+	ID          string          `json:"id" jsonc:"required"`
+	Service     string          `json:"service" jsonc:"required"`
+	Version     string          `json:"version" jsonc:"required"`
+	Address     string          `json:"address" jsonc:"required"` // IP number and port.
+	Slots       int             `json:"slots" jsonc:"required"`
+	Connections int             `json:"connections" jsonc:"required"`
+	Lease       config.Duration `json:"lease" jsonc:"required"`
+}
+
+// The spans that a lease may have.
+const (
+	leaseLeast = 500 * time.Millisecond
+	leaseMost  = time.Minute
+)
+
+// Check returns an error that says what is wrong, matching ErrInvalid.
+func (a Announcement) Check() error {
+	if err := a.upstream(time.Time{}, false).Check(); err != nil {
+		return errs.Combine(ErrInvalid, err)
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return errs.Combine(ErrInvalid, errs.New("address: want an IP number and a port, got %q", a.Address))
+	}
+	if l := time.Duration(a.Lease); l < leaseLeast || l > leaseMost {
+		return errs.Combine(ErrInvalid, errs.New("lease: want %v to %v, got %v", leaseLeast, leaseMost, l))
+	}
+	return nil
+}
+
+func (a Announcement) upstream(since time.Time, draining bool) directory.Upstream {
+	u := directory.Upstream{
+		ID: a.ID, Service: a.Service, Version: a.Version,
+		Slots: a.Slots, Connections: a.Connections, Since: since,
+	}
+	if draining {
+		u.State = directory.StateDraining
+	}
+	return u
+}
+
+// entry is one upstream that has announced itself.
+type entry struct {
+	said     Announcement
+	since    time.Time
+	until    time.Time
+	draining bool
+	lane     *lane
+	client   *http.Transport
+}
+
+// Config describes a Gate.
+type Config struct {
+	Clock    func() time.Time
+	Counters *count.Set
+	Events   *event.Ring
+	// Changed is called after the set of upstreams changed.
+	Changed func()
+}
+
+// Gate knows the upstreams beside a daemon, and every call to them passes it.
+// It is safe for concurrent use. Make one with New.
+type Gate struct {
+	config    Config
+	mutex     sync.Mutex
+	upstreams map[string]*entry
+}
+
+// New returns a gate that knows no upstream.
+func New(c Config) *Gate {
+	return &Gate{config: c, upstreams: map[string]*entry{}}
+}
+
+// Announce takes in an announcement or renews one.
+func (g *Gate) Announce(now time.Time, a Announcement) error {
+	if err := a.Check(); err != nil {
+		g.config.Counters.Add("announcements_refused", 1)
+		return err
+	}
+	g.config.Counters.Add("announcements", 1)
+	g.mutex.Lock()
+	e := g.upstreams[a.ID]
+	changed := e == nil || e.said != a || e.draining
+	if changed {
+		if e != nil {
+			g.close(e)
+		}
+		e = &entry{said: a, since: now, lane: newLane(a.Slots), client: newTransport(a.Connections)}
+		g.upstreams[a.ID] = e
+	}
+	e.until = now.Add(time.Duration(a.Lease))
+	g.mutex.Unlock()
+	if changed {
+		g.note(now, "announced", a, "announced itself")
+	}
+	return nil
+}
+
+// newTransport returns a client of one upstream. Answers are passed on as they
+// are, so nothing may be unpacked on the way.
+func newTransport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
+
+// Drain lets no new call reach an upstream; those that run go on.
+func (g *Gate) Drain(now time.Time, id string) error {
+	g.mutex.Lock()
+	e := g.upstreams[id]
+	if e == nil {
+		g.mutex.Unlock()
+		return ErrAbsent
+	}
+	changed := !e.draining
+	e.draining = true
+	e.lane.drain(false)
+	g.mutex.Unlock()
+	if changed {
+		g.note(now, "draining", e.said, "takes no new work")
+	}
+	return nil
+}
+
+// Leave takes an upstream out.
+func (g *Gate) Leave(now time.Time, id string) error {
+	g.mutex.Lock()
+	e := g.upstreams[id]
+	if e == nil {
+		g.mutex.Unlock()
+		return ErrAbsent
+	}
+	delete(g.upstreams, id)
+	g.close(e)
+	g.mutex.Unlock()
+	g.note(now, "left", e.said, "left")
+	return nil
+}
+
+// close lets running calls end and takes no others. The caller holds the lock.
+func (g *Gate) close(e *entry) {
+	e.lane.drain(true)
+	e.client.CloseIdleConnections()
+}
+
+// Expire takes out the upstreams whose leases have ended.
+func (g *Gate) Expire(now time.Time) {
+	g.mutex.Lock()
+	var ended []Announcement
+	for id, e := range g.upstreams {
+		if now.After(e.until) {
+			delete(g.upstreams, id)
+			g.close(e)
+			ended = append(ended, e.said)
+		}
+	}
+	g.mutex.Unlock()
+	for _, a := range ended {
+		g.config.Counters.Add("leases_expired", 1)
+		g.note(now, "expired", a, "did not renew its lease")
+	}
+}
+
+func (g *Gate) note(now time.Time, kind string, a Announcement, text string) {
+	g.config.Events.Add(now, event.Event{
+		Kind: "upstream-" + kind, Subject: a.Service + "/" + a.ID,
+		Text: a.ID + " (" + a.Service + " " + a.Version + ") " + text,
+	})
+	if g.config.Changed != nil {
+		g.config.Changed()
+	}
+}
+
+// Upstreams returns what the daemon's directory record says, by ID.
+func (g *Gate) Upstreams() []directory.Upstream {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	var all []directory.Upstream
+	for _, e := range g.upstreams {
+		all = append(all, e.said.upstream(e.since, e.draining))
+	}
+	sortUpstreams(all)
+	return all
+}
+
+// Idle reports whether no call runs or waits at any upstream.
+func (g *Gate) Idle() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, e := range g.upstreams {
+		if !e.lane.idle() {
+			return false
+		}
+	}
+	return true
+}
+
+// Loads returns the load of each upstream by ID.
+func (g *Gate) Loads() map[string]call.Load {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	loads := map[string]call.Load{}
+	for id, e := range g.upstreams {
+		loads[id] = e.lane.Load()
+	}
+	return loads
+}
+
+func (g *Gate) entry(id string) *entry {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.upstreams[id]
+}
