--- a/internal/daemon/brake.go
+++ b/internal/daemon/brake.go
@@ -60,7 +60,7 @@
 				j = ownJudge{judge: move.NewJudge(d.config.Policy), start: m.Start}
 				judges[service] = j
 			}
-			j.judge.Observe(m, report.Rows)
+			j.judge.Observe(d.config.Clock(), m, report.Rows)
 			d.brake(m, j.judge)
 		}
 	}
--- a/internal/feed/parent.go
+++ b/internal/feed/parent.go
@@ -23,18 +23,29 @@
 type failure struct {
 	count int
 	until time.Time
+	stale bool // It answers, but hears little of the source.
 }
 
 // choose returns the best candidate that may be asked at now, or how long to
-// wait until one may.
+// wait until one may. If only stale ones are left, the first of them has to
+// do.
 func (p *parentChoice) choose(now time.Time, candidates []string) (address string, wait time.Duration) {
 	wait = backoffMost
+	stale := ""
 	for _, a := range candidates {
-		left := p.failures[a].until.Sub(now)
-		if left <= 0 {
+		f := p.failures[a]
+		left := f.until.Sub(now)
+		switch {
+		case left <= 0:
 			return a, 0
+		case f.stale && stale == "":
+			stale = a
+		case !f.stale:
+			wait = min(wait, left)
 		}
-		wait = min(wait, left)
+	}
+	if stale != "" {
+		return stale, 0
 	}
 	return "", wait
 }
@@ -49,7 +60,8 @@
 		return
 	}
 	f := p.failures[address]
-	if errors.Is(err, errStale) {
+	f.stale = errors.Is(err, errStale)
+	if f.stale {
 		f.until = now.Add(stalePenalty)
 	} else {
 		f.until = now.Add(backoff(f.count, draw))
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// Observe takes in the newest sums of the evidence of a move.
-func (j *Judge) Observe(m config.Move, rows []evidence.Row) {
+// Observe takes in the sums of the evidence of a move at now.
+func (j *Judge) Observe(now time.Time, m config.Move, rows []evidence.Row) {
 	routes := map[string][2]counts{}
 	hosts := map[string]counts{}
 	var all [2]counts
@@ -92,11 +92,11 @@
 		}
 	}
 	for name, c := range routes {
-		look(j.routes, name, c)
+		look(now, j.routes, name, c)
 	}
 	for name, h := range hosts {
-		look(j.hosts, name, [2]counts{all[oldSide], h})
-		look(j.others, name, [2]counts{all[oldSide], all[newSide].minus(h)})
+		look(now, j.hosts, name, [2]counts{all[oldSide], h})
+		look(now, j.others, name, [2]counts{all[oldSide], all[newSide].minus(h)})
 	}
 }
 
@@ -118,13 +118,13 @@
 	}
 }
 
-func look(trials map[string]*trial, name string, c [2]counts) {
+func look(now time.Time, trials map[string]*trial, name string, c [2]counts) {
 	t := trials[name]
 	if t == nil {
 		t = newTrial()
 		trials[name] = t
 	}
-	t.look(c)
+	t.look(now, c)
 }
 
 // Decide says what to do with a move at now. Slots are those of the old and
@@ -166,8 +166,13 @@
 
 // verdict reports whether the new version is bad. If the evidence comes from
 // one host alone, it is not the version that is bad; then the reason says so.
-func (j *Judge) verdict() (bad bool, reason string) {
-	bound := float64(max(1, len(j.routes))) / j.policy.Doubt
+func (j *Judge) verdict() (bad bool, reason string) { return j.verdictAt(j.bound()) }
+
+// bound returns the odds at which a route speaks against the new version. It
+// rises with the number of routes, each of which may do so by chance.
+func (j *Judge) bound() float64 { return float64(max(1, len(j.routes))) / j.policy.Doubt }
+
+func (j *Judge) verdictAt(bound float64) (bad bool, reason string) {
 	names := make([]string, 0, len(j.routes))
 	for name := range j.routes {
 		names = append(names, name)
@@ -283,6 +288,10 @@
 	return !now.Before(j.stepTime(m, i).Add(wait))
 }
 
-// Bad reports whether the evidence speaks against the new version, and why. A
-// daemon asks this of its own calls alone, to stop sending them at once.
-func (j *Judge) Bad() (bool, string) { return j.verdict() }
+// Bad reports whether the evidence of one daemon alone speaks against the new
+// version, and why. It asks for stronger evidence than Decide does, since each
+// of many daemons asks.
+func (j *Judge) Bad() (bool, string) { return j.verdictAt(j.bound() * brakeFactor) }
+
+// brakeFactor is how much stronger the evidence of one daemon must be.
+const brakeFactor = 100
--- a/internal/source/mover.go
+++ b/internal/source/mover.go
@@ -65,7 +65,7 @@
 		judges[m.Service] = j
 	}
 	service, _ := n.hub.State().Table().Service(m.Service)
-	j.judge.Observe(m.Move, n.hub.Evidence(m.Service))
+	j.judge.Observe(n.config.Clock(), m.Move, n.hub.Evidence(m.Service))
 	d := j.judge.Decide(n.config.Clock(), m.Move, n.readySlots(m.Move), service.Deadline)
 	if d.State == m.State && d.Share == m.Share && d.Reason == m.Reason {
 		return
