--- a/internal/source/agree.go
+++ b/internal/source/agree.go
@@ -52,19 +52,18 @@
 // agreement is the goroutine that owns the agreement core, the disk and the
 // state machine.
 type agreement struct {
-	node     *Node
-	core     *quorum.Core
-	store    *disk.Store
-	state    *ledger.State
-	inputs   *ring.Ring[input]
-	waiting  map[quorum.Index]waiter
-	reading  map[uint64]chan readResult
-	readID   uint64
-	role     quorum.Role
-	leader   string
-	roomy    bool
-	roomAt   time.Time
-	joinedAs string
+	node    *Node
+	core    *quorum.Core
+	store   *disk.Store
+	state   *ledger.State
+	inputs  *ring.Ring[input]
+	waiting map[quorum.Index]waiter
+	reading map[uint64]chan readResult
+	readID  uint64
+	role    quorum.Role
+	leader  string
+	roomy   bool
+	roomAt  time.Time
 }
 
 func newAgreement(n *Node, store *disk.Store, id string, start quorum.Start, now time.Time) (*agreement, error) {
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -138,13 +138,6 @@
 	l.queue = nil
 }
 
-// reopen takes back a drain that was not a leave.
-func (l *lane) reopen() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.draining = l.closed
-}
-
 // idle reports whether no call runs or waits.
 func (l *lane) idle() bool {
 	l.mutex.Lock()
