Processes killed, frozen and robbed of disks; herds, cuts and dead relays

Cause: the source and the way to the daemons had met no failure. Real processes and in-process fleets found four faults: - A confirmed read was answered from a replica that had not applied it yet (a change accepted as revision 666 was missing in the read right after). - Directory records were lost when a daemon changed its parent between telling the old one and that one's passing it on: a replica knew 3 of 9 daemons for good. The records had come from a process that was no child any more. - A parent that could not be compared with at first was never met again. - 'In force' counted daemons that had the revision but did not serve yet.

Ruled out: resending the whole directory at each change of parent (2.8 MB at the size planned for).

Change: a read waits for its replica to reach the confirmed revision; changes flow to everyone but whom they came from; processes that meet compare digests of 256 groups of records and exchange those that differ, also when digests differ for 5 s; acknowledgements count only daemons that serve. A cut-off replica lets an operator go on to the next after 1.5 s instead of 4 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,7 @@
 	}, d.hub)
 	d.gate = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, Changed: d.renewRecord})
 	d.entry = caller.New(caller.Config{
-		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Draw: c.Draw, Ready: d.child.Ready,
+		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Draw: c.Draw, Ready: d.hub.Ready,
 		Hub: d.hub, Gate: d.gate, Evidence: d.evidence, Counters: c.Counters,
 		Charge: d.charge, Braked: d.brakes.braked,
 	})
@@ -152,7 +152,7 @@
 	c.Gauge("control_bytes_sent", func() any { return d.traffic.Sent() })
 	c.Gauge("control_bytes_received", func() any { return d.traffic.Received() })
 	c.Gauge("revision", func() any { return d.hub.State().Revision() })
-	c.Gauge("ready", func() any { return d.child.Ready() })
+	c.Gauge("ready", func() any { return d.hub.Ready() })
 }
 
 // Addresses returns the addresses that the daemon listens on.
@@ -162,7 +162,7 @@
 func (d *Daemon) Hub() *feed.Hub { return d.hub }
 
 // Ready reports whether calls are served.
-func (d *Daemon) Ready() bool { return d.child.Ready() }
+func (d *Daemon) Ready() bool { return d.hub.Ready() }
 
 // Counters returns the daemon's counters.
 func (d *Daemon) Counters() interface{ Get(string) int64 } { return d.config.Counters }
@@ -178,7 +178,7 @@
 	state := d.hub.State()
 	s := localhttp.Status{
 		Host: d.config.Host, Zone: d.config.Zone, Revision: state.Revision(), Digest: state.Table().Digest(),
-		Ready: d.child.Ready(), Parent: d.child.Parent(), Known: len(d.hub.View().Live()), Loads: d.gate.Loads(),
+		Ready: d.hub.Ready(), Parent: d.child.Parent(), Known: len(d.hub.View().Live()), Loads: d.gate.Loads(),
 		AgeMillis: -1,
 	}
 	if heard := d.hub.Heard(); !heard.IsZero() {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -157,7 +157,7 @@
 }
 
 // BucketCount is the number of groups by which two directories are compared.
-const BucketCount = 64
+const BucketCount = 256
 
 func bucketOf(host string) int { return int(xxh3.HashString(host) % BucketCount) }
 
@@ -170,16 +170,39 @@
 	return sums
 }
 
-// Differing returns the records of the groups whose digests differ from those
-// of another directory, which must be BucketCount in number.
-func (d *Directory) Differing(other []Digest) []Record {
-	own := d.Buckets()
+// Differing compares the groups with those of another directory, whose digests
+// must be BucketCount in number. It returns the groups that differ and the
+// records in them.
+func (d *Directory) Differing(other []Digest) ([]int, []Record) {
+	var groups []int
+	for i, own := range d.Buckets() {
+		if own != other[i] {
+			groups = append(groups, i)
+		}
+	}
+	return groups, d.inGroups(groups)
+}
+
+func (d *Directory) inGroups(groups []int) []Record {
 	var found []Record
 	for host, h := range d.records {
-		if b := bucketOf(host); own[b] != other[b] {
+		if slices.Contains(groups, bucketOf(host)) {
 			found = append(found, h.record)
 		}
 	}
 	slices.SortFunc(found, func(a, b Record) int { return strings.Compare(a.Host, b.Host) })
 	return found
 }
+
+// Newer returns the records in some groups that another directory lacks, given
+// all that it holds in these groups.
+func (d *Directory) Newer(groups []int, theirs []Record) []Record {
+	known := make(map[string]Record, len(theirs))
+	for _, r := range theirs {
+		known[r.Host] = r
+	}
+	return slices.DeleteFunc(d.inGroups(groups), func(r Record) bool {
+		other, ok := known[r.Host]
+		return ok && !r.supersedes(other)
+	})
+}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -69,9 +69,13 @@
 			b.Merge(now, "", r)
 		}
 	}
-	found := a.Differing(b.Buckets())
+	b.Merge(now, "", record("only-b", "z", 1, 1))
+	groups, found := a.Differing(b.Buckets())
 	require.Less(t, len(found), 100)
+	newer := b.Newer(groups, found)
 	b.Merge(now, "a", found...)
+	a.Merge(now, "b", newer...)
+	require.Len(t, newer, 1)
 	require.Equal(t, a.Digest(), b.Digest())
 }
 
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -52,6 +52,7 @@
 	config HubConfig
 	state  atomic.Pointer[State]
 	view   atomic.Pointer[View]
+	floor  atomic.Uint64 // One more than the confirmed floor; 0 if unknown.
 
 	mutex     sync.Mutex
 	directory directory.Directory
@@ -79,6 +80,22 @@
 // State returns the configuration in force.
 func (h *Hub) State() *State { return h.state.Load() }
 
+// Ready reports whether a daemon holds at least what the source's quorum had
+// accepted when the daemon started. Before that it might hold less than it
+// served in an earlier life, so it must not serve.
+func (h *Hub) Ready() bool {
+	floor := h.floor.Load()
+	return floor > 0 && uint64(h.State().Revision())+1 >= floor
+}
+
+// setFloor notes what the source's quorum has accepted.
+func (h *Hub) setFloor(r config.Revision) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.floor.Store(uint64(r) + 1)
+	h.notify()
+}
+
 // View returns the upstreams that there are, by service.
 func (h *Hub) View() *View { return h.view.Load() }
 
@@ -178,18 +195,22 @@
 	return h.directory.Get(host)
 }
 
-// ChangesBelow returns what changed after a cursor among the directory records
-// and evidence reports that this process made itself or learned from its
-// children, and the next cursor. What came from above need not go back there.
-func (h *Hub) ChangesBelow(after Cursor) ([]directory.Record, []evidence.Report, Cursor) {
+// ChangesFor returns what changed after a cursor among the directory records
+// and evidence reports, and the next cursor. What was learned from the process
+// it is for, or by one source replica from another, is left out: they have it.
+func (h *Hub) ChangesFor(other string, after Cursor) ([]directory.Record, []evidence.Report, Cursor) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	below := func(learned string) bool {
-		_, isChild := h.children[learned]
-		return learned == "" || isChild
+	wanted := func(learned string) bool {
+		_, fromSibling := h.siblings[learned]
+		return learned != other && !fromSibling
 	}
-	next := Cursor{records: h.directory.Last(), reports: h.evidence.Last()}
-	return h.directory.Since(after.records, below), h.evidence.Since(after.reports, below), next
+	return h.directory.Since(after.records, wanted), h.evidence.Since(after.reports, wanted), h.cursor()
+}
+
+// cursor returns the newest position. The caller holds the lock.
+func (h *Hub) cursor() Cursor {
+	return Cursor{records: h.directory.Last(), reports: h.evidence.Last()}
 }
 
 // Cursor is a position in a hub's own order of changes. The zero value is the
@@ -216,7 +237,10 @@
 	defer h.mutex.Unlock()
 	var sum Ack
 	if !h.config.Source {
-		sum = Ack{Daemons: 1, Low: h.state.Load().Revision(), Behind: []string{h.config.Host}}
+		sum = Ack{Daemons: 1, Behind: []string{h.config.Host}}
+		if h.Ready() {
+			sum.Low = h.state.Load().Revision()
+		}
 	}
 	for _, c := range h.children {
 		sum = sum.add(c.ack)
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -35,8 +35,9 @@
 	Records  []directory.Record
 	Instance uint64
 	Index    uint64
-	Age      time.Duration // How long ago the source's leader was last heard of.
-	Busy     time.Duration // If positive: ask for a whole state again after this.
+	Digest   directory.Digest // Of the parent's directory.
+	Age      time.Duration    // How long ago the source's leader was last heard of.
+	Busy     time.Duration    // If positive: ask for a whole state again after this.
 }
 
 // ReportArgs tells a parent about a child and the daemons below it.
@@ -87,20 +88,29 @@
 // before the call is included.
 type LatestReply struct{ Revision config.Revision }
 
-// CompareArgs starts an exchange of directory records between two daemons that
-// may differ.
+// CompareArgs starts an exchange of directory records between two processes
+// that may differ.
 type CompareArgs struct {
 	Host    string
-	Have    config.Revision
 	Buckets []directory.Digest
 }
 
-// CompareReply holds the records of the buckets that differ.
+// CompareReply tells which groups of records differ and holds those of the
+// process that was asked.
 type CompareReply struct {
-	Have    config.Revision
+	Differing []int
+	Records   []directory.Record
+}
+
+// TellArgs hands over directory records that the other process lacks.
+type TellArgs struct {
+	Host    string
 	Records []directory.Record
 }
 
+// TellReply carries nothing; a call without error was taken in.
+type TellReply struct{}
+
 // Errors of the feed that callers test with errors.Is.
 var (
 	ErrNotSource   = errs.New("feed: only a source replica can tell the newest revision")
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/catalog"
@@ -48,12 +47,13 @@
 	mutex   sync.Mutex
 	clients map[string]*peer.Client
 	parent  string // The address of the present parent.
+	since   Cursor // Where the hub was when it became the parent.
 	choice  parentChoice
-	floor   atomic.Uint64 // One more than the confirmed floor; 0 if unknown.
-	whole   bool          // The next pull asks for a whole state.
+	whole   bool // The next pull asks for a whole state.
 
 	instance uint64 // Of the parent, with the index known of it.
 	index    uint64
+	differs  time.Time // Since when the parent's directory has differed.
 	stop     chan struct{}
 }
 
@@ -62,14 +62,6 @@
 	return &Child{config: c, hub: hub, clients: map[string]*peer.Client{}, stop: make(chan struct{})}
 }
 
-// Ready reports whether the daemon holds at least what the source's quorum had
-// accepted when the daemon started. Before that it might hold less than it
-// served in an earlier life, so it must not serve.
-func (c *Child) Ready() bool {
-	floor := c.floor.Load()
-	return floor > 0 && uint64(c.hub.State().Revision())+1 >= floor
-}
-
 // Parent returns the address of the present parent.
 func (c *Child) Parent() string {
 	c.mutex.Lock()
@@ -77,6 +69,12 @@
 	return c.parent
 }
 
+func (c *Child) parentSince() (string, Cursor) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.parent, c.since
+}
+
 // Stop ends the duties.
 func (c *Child) Stop() {
 	close(c.stop)
@@ -117,7 +115,7 @@
 			var reply LatestReply
 			err := c.client(address).Call("Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout)
 			if err == nil {
-				c.floor.Store(uint64(reply.Revision) + 1)
+				c.hub.setFloor(reply.Revision)
 				return
 			}
 		}
@@ -160,12 +158,14 @@
 func (c *Child) turnTo(address string) {
 	c.mutex.Lock()
 	old := c.parent
-	c.parent = address
-	c.mutex.Unlock()
 	if old == address {
+		c.mutex.Unlock()
 		return
 	}
-	c.instance, c.index = 0, 0
+	c.parent = address
+	c.since = c.hub.recordsNow()
+	c.mutex.Unlock()
+	c.instance, c.index, c.differs = 0, 0, time.Time{}
 	if c.config.Parent != nil {
 		c.config.Parent(address)
 	}
@@ -187,23 +187,53 @@
 	if c.whole {
 		args.Have = 0
 	}
+	if c.instance == 0 {
+		args.Wait = 0 // Meet the parent first.
+	}
 	var reply PullReply
 	if err := c.client(address).Call("Feed.Pull", args, &reply, pullTimeout); err != nil {
 		return 0, err
 	}
 	now := c.config.Clock()
-	c.instance, c.index = reply.Instance, reply.Index
 	c.hub.Learn(now, address, reply.Records...)
 	c.hub.Hear(now.Add(-reply.Age))
+	met := c.instance == reply.Instance
+	c.instance, c.index = reply.Instance, reply.Index
 	if reply.Delta != nil && !c.take(*reply.Delta) {
 		return refusedPause, nil
 	}
+	if err := c.mend(now, address, met, reply.Digest); err != nil {
+		c.instance = 0 // The parent is still to be met.
+		return 0, err
+	}
 	if reply.Age > staleAge {
 		return reply.Busy, errStale
 	}
 	return reply.Busy, nil
 }
 
+// differsMost is how long a parent's directory may differ before the two are
+// compared. News on their way make them differ for a moment.
+const differsMost = 5 * time.Second
+
+// mend compares the directory with that of a parent that was not met before,
+// or that has differed for long.
+func (c *Child) mend(now time.Time, address string, met bool, digest directory.Digest) error {
+	if digest == c.hub.RecordsDigest() {
+		c.differs = time.Time{}
+		return nil
+	}
+	if c.differs.IsZero() {
+		c.differs = now
+	}
+	if met && now.Sub(c.differs) < differsMost {
+		return nil
+	}
+	c.differs = time.Time{}
+	_, err := c.hub.Reconcile(now, address, c.client(address))
+	return err
+}
+
 // take puts a delta in force, all of it or nothing.
 func (c *Child) take(d catalog.Delta) bool {
 	next, err := c.hub.State().Catalog().Apply(d)
@@ -231,11 +261,14 @@
 	last := ""
 	for c.pause(reportLeast) {
 		wake := c.hub.Wake()
-		if parent := c.Parent(); parent != "" {
-			if parent != last {
-				cursor = Cursor{}
-				last = parent
-			}
+		parent, since := c.parentSince()
+		if parent != last {
+			// Records that the new parent lacks are found by comparing; all
+			// evidence is told anew.
+			cursor = since
+			last = parent
+		}
+		if parent != "" {
 			cursor = c.reportOnce(parent, cursor)
 		}
 		t := time.NewTimer(reportMost)
@@ -249,10 +282,17 @@
 }
 
 func (c *Child) reportOnce(parent string, cursor Cursor) Cursor {
-	records, reports, next := c.hub.ChangesBelow(cursor)
+	records, reports, next := c.hub.ChangesFor(parent, cursor)
 	args := ReportArgs{Host: c.config.Host, Ack: c.hub.Ack(), Records: records, Reports: reports}
 	if c.client(parent).Call("Feed.Report", args, &ReportReply{}, reportTimeout) != nil {
 		return cursor
 	}
 	return next
 }
+
+// recordsNow returns a cursor behind all records and before all evidence.
+func (h *Hub) recordsNow() Cursor {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return Cursor{records: h.directory.Last()}
+}
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -65,12 +65,11 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	reply := PullReply{Instance: h.config.Instance, Index: h.directory.Last(), Age: now.Sub(h.heard)}
-	switch {
-	case args.Records == h.directory.Digest():
-	case args.Instance == h.config.Instance:
+	reply.Digest = h.directory.Digest()
+	// A child that has just come compares its directory first; from then on it
+	// knows the parent's instance.
+	if args.Instance == h.config.Instance && args.Records != reply.Digest {
 		reply.Records = h.directory.Since(args.Index, func(learned string) bool { return learned != args.Host })
-	default:
-		reply.Records = h.directory.Since(0, func(string) bool { return true })
 	}
 	c := h.state.Load().catalog
 	if c.Revision() <= args.Have {
@@ -137,16 +136,18 @@
 	}
 	s.hub.mutex.Lock()
 	defer s.hub.mutex.Unlock()
-	reply.Have = s.hub.state.Load().Revision()
-	reply.Records = s.hub.directory.Differing(args.Buckets)
+	reply.Differing, reply.Records = s.hub.directory.Differing(args.Buckets)
 	return nil
 }
 
-// Buckets returns the digests that Compare takes.
-func (h *Hub) Buckets() []directory.Digest {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.directory.Buckets()
+// Tell takes in directory records.
+func (s *Service) Tell(args TellArgs, _ *TellReply) error {
+	if !config.ValidName(args.Host) {
+		s.hub.config.Counters.Add("feed_bad_messages", 1)
+		return ErrBadMessage
+	}
+	s.hub.Learn(s.clock(), args.Host, args.Records...)
+	return nil
 }
 
 // RecordsDigest identifies the directory.
--- /dev/null
+++ b/internal/processtest/source_test.go
@@ -0,0 +1,360 @@
+package processtest_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/endivewalk/endivewalk/examples"
+	"github.com/endivewalk/endivewalk/internal/processtest"
+	"github.com/endivewalk/endivewalk/pkg/config"
+	"github.com/endivewalk/endivewalk/pkg/operator"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "endivewalk-test-")
+	if err != nil {
+		panic(err)
+	}
+	if program, err = processtest.Build(folder); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+func kilele(t testing.TB) []config.Object {
+	d, err := config.Parse("mesh.jsonc", examples.KileleMesh)
+	require.NoError(t, err)
+	return d.Objects()
+}
+
+// apply sends a change until its outcome is known.
+func apply(t testing.TB, g *processtest.Group, c *operator.Client, change operator.Change) operator.Outcome {
+	var out operator.Outcome
+	var err error
+	g.Eventually(20*time.Second, "outcome of "+change.Request, func() bool {
+		out, err = c.Apply(context.Background(), change)
+		return err == nil
+	})
+	return out
+}
+
+func contract(t testing.TB, team string, amount int) config.Object {
+	o, err := config.MakeObject(config.Contract{Team: team, Limit: fmt.Sprintf("%d bench-credits", amount)})
+	require.NoError(t, err)
+	return o
+}
+
+func service(t testing.TB, name string) config.Object {
+	o, err := config.MakeObject(config.Service{Name: name, Version: "v1", Deadline: "finish"})
+	require.NoError(t, err)
+	return o
+}
+
+// writer makes changes one after the other and remembers which were accepted.
+type writer struct {
+	mutex    sync.Mutex
+	accepted map[string]config.Revision
+}
+
+// write sends numbered changes until stop, each until its outcome is known.
+func (w *writer) write(t testing.TB, g *processtest.Group, name string, stop <-chan struct{}) {
+	client := g.Client()
+	client.Timeout = time.Second
+	for i := 0; ; i++ {
+		request := fmt.Sprintf("%s-%d", name, i)
+		change := operator.Change{Request: request, Put: []config.Object{service(t, request)}}
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			out, err := client.Apply(context.Background(), change)
+			if err != nil {
+				continue
+			}
+			w.mutex.Lock()
+			if out.Status == operator.Accepted {
+				w.accepted[request] = out.Revision
+			}
+			w.mutex.Unlock()
+			break
+		}
+	}
+}
+
+// check compares what was accepted with what is in force.
+func (w *writer) check(t testing.TB, g *processtest.Group) {
+	var now operator.Configuration
+	g.Eventually(20*time.Second, "configuration", func() bool {
+		var err error
+		now, err = g.Client().Configuration(context.Background())
+		return err == nil
+	})
+	inForce := map[config.Key]operator.Object{}
+	for _, o := range now.Objects {
+		inForce[o.Key] = o
+	}
+	require.NotEmpty(t, w.accepted)
+	revisions := map[config.Revision]string{}
+	for request, r := range w.accepted {
+		o, ok := inForce[config.MakeKey(config.KindService, request)]
+		require.True(t, ok, "%s was accepted as revision %d and is lost", request, r)
+		require.Equal(t, r, o.Revision, request)
+		require.Equal(t, request, o.Request)
+		other, twice := revisions[r]
+		require.False(t, twice, "revision %d was given to %s and %s", r, request, other)
+		revisions[r] = request
+	}
+	t.Logf("%d changes accepted, all in force", len(w.accepted))
+}
+
+// during runs disturb while three operators write.
+func during(t *testing.T, g *processtest.Group, disturb func()) {
+	w := &writer{accepted: map[string]config.Revision{}}
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range 3 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			w.write(t, g, fmt.Sprintf("w%d", i), stop)
+		}()
+	}
+	disturb()
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	group.Wait()
+	w.check(t, g)
+}
+
+// TestKilledReplicas kills the leader and followers at random moments during
+// writes, and once all three at once. Nothing accepted is lost.
+func TestKilledReplicas(t *testing.T) {
+	t.Parallel()
+	seed := uint64(11)
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	g := processtest.New(t, program)
+	g.Leader()
+	during(t, g, func() {
+		for round := range 5 {
+			time.Sleep(time.Duration(100+random.IntN(300)) * time.Millisecond)
+			victim := random.IntN(3)
+			if round%2 == 0 {
+				victim = g.Leader()
+			}
+			g.Source(victim).Kill()
+			time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+			g.StartSource(victim)
+		}
+		for i := range 3 {
+			g.Source(i).Kill()
+		}
+		for i := range 3 {
+			g.StartSource(i)
+		}
+		g.Leader()
+	})
+}
+
+// TestFrozenLeader stops the leader for longer than its lease, while the
+// others go on, and lets it go on again. It must not answer as a leader.
+func TestFrozenLeader(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	during(t, g, func() {
+		for range 3 {
+			leader := g.Leader()
+			g.Source(leader).Signal(syscall.SIGSTOP)
+			began := time.Now()
+			others := g.Client((leader+1)%3, (leader+2)%3)
+			others.Timeout = time.Second
+			out := apply(t, g, others, operator.Change{Request: fmt.Sprintf("during-%d", leader), Put: []config.Object{service(t, fmt.Sprintf("during-%d", leader))}})
+			t.Logf("first change accepted %v after the leader froze", time.Since(began))
+			g.Source(leader).Signal(syscall.SIGCONT)
+			// A confirmed read of the one that wakes sees what the others accepted.
+			g.Eventually(10*time.Second, "read", func() bool {
+				now, err := g.Client(leader).Configuration(context.Background())
+				if err != nil {
+					return false
+				}
+				require.GreaterOrEqual(t, now.Revision, out.Revision)
+				return true
+			})
+		}
+	})
+}
+
+// TestDeletedFolder loses a disk and, right after the repair is told, the disk
+// of a second host. Nothing accepted is lost.
+func TestDeletedFolder(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	g.Leader()
+	during(t, g, func() {
+		for _, victim := range []int{g.Leader(), (g.Leader() + 1) % 3} {
+			time.Sleep(200 * time.Millisecond)
+			g.Source(victim).Kill()
+			require.NoError(t, os.RemoveAll(g.Folder(victim)))
+			g.StartSource(victim)
+			waitRepaired(t, g, victim)
+		}
+	})
+}
+
+// waitRepaired waits until the replica itself tells that it is repaired.
+func waitRepaired(t *testing.T, g *processtest.Group, replica int) {
+	t.Helper()
+	name := fmt.Sprintf("source-%d", replica+1)
+	client := g.Client(replica)
+	client.Timeout = time.Second
+	g.Eventually(20*time.Second, "repair of "+name, func() bool {
+		events, err := client.Events(context.Background(), operator.Process{Address: client.Sources[0]}, time.Time{})
+		if err != nil {
+			return false
+		}
+		for _, e := range events {
+			if e.Kind == "repaired" {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// TestDamagedLogs cuts the log's tail off and flips a bit in its middle while
+// the replica is down. The tail heals by itself; the damage is set aside and
+// the replica joins as a new one.
+func TestDamagedLogs(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	g.Leader()
+	during(t, g, func() {
+		for round, spoil := range []func([]byte) []byte{
+			func(log []byte) []byte { return log[:len(log)-3] },
+			func(log []byte) []byte { log[len(log)/2] ^= 4; return log },
+		} {
+			time.Sleep(300 * time.Millisecond)
+			victim := (g.Leader() + 1 + round) % 3
+			g.Source(victim).Kill()
+			path := filepath.Join(g.Folder(victim), "log")
+			data, err := os.ReadFile(path)
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(path, spoil(bytes.Clone(data)), 0o644))
+			g.StartSource(victim)
+			if round == 1 {
+				waitRepaired(t, g, victim)
+				aside, err := filepath.Glob(filepath.Join(g.Folder(victim), "damaged-*"))
+				require.NoError(t, err)
+				require.Len(t, aside, 1)
+			}
+		}
+	})
+}
+
+// TestInitOnALostDisk refuses to make a second group where one exists.
+func TestInitOnALostDisk(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	leader := g.Leader()
+	victim := (leader + 1) % 3
+	g.Source(victim).Kill()
+	require.NoError(t, os.RemoveAll(g.Folder(victim)))
+	g.StartSource(victim, "--init")
+	require.Equal(t, 2, g.Source(victim).Wait(10*time.Second))
+}
+
+// TestOperatorsRace has two operators at two replicas send changes with equal
+// versions, and resend them to a third, also after a change of leader.
+func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	first := apply(t, g, g.Client(), operator.Change{Request: "base", Put: kilele(t)})
+	require.Equal(t, operator.Accepted, first.Status)
+	revision := first.Revision
+	for round := range 8 {
+		var group sync.WaitGroup
+		outs := make([]operator.Outcome, 2)
+		change := func(i int) operator.Change {
+			return operator.Change{Request: fmt.Sprintf("race-%d-%d", round, i), Replaces: revision, Put: []config.Object{contract(t, "clubs", 1000*(round+1)+i)}}
+		}
+		for i := range 2 {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				outs[i] = apply(t, g, g.Client(i), change(i))
+			}()
+		}
+		group.Wait()
+		winner := 0
+		if outs[1].Status == operator.Accepted {
+			winner = 1
+		}
+		require.Equal(t, operator.Accepted, outs[winner].Status)
+		require.Equal(t, operator.Conflict, outs[1-winner].Status)
+		require.Equal(t, fmt.Sprintf("race-%d-%d", round, winner), outs[1-winner].Winner.Request)
+		require.Equal(t, "amina", outs[1-winner].Winner.Operator)
+		killed := -1
+		if round == 4 {
+			killed = g.Leader()
+			g.Source(killed).Kill()
+		}
+		for i := range 2 {
+			again := apply(t, g, g.Client(), change(i))
+			require.True(t, again.Resent)
+			again.Resent = false
+			require.Equal(t, outs[i], again)
+		}
+		if killed >= 0 {
+			g.StartSource(killed)
+			g.Leader()
+		}
+		revision = outs[winner].Revision
+	}
+}
+
+func TestOperatorNeedsAToken(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	g.Leader()
+	for _, token := range []string{"", "wrong"} {
+		c := g.Client()
+		c.Token = token
+		_, err := c.Status(context.Background())
+		require.ErrorIs(t, err, operator.ErrUnauthorized)
+		_, err = c.Apply(context.Background(), operator.Change{Request: "x"})
+		require.ErrorIs(t, err, operator.ErrUnauthorized)
+	}
+	_, err := (&operator.Client{Token: processtest.Token, Sources: []string{"127.0.0.1:1"}}).Status(context.Background())
+	require.True(t, errors.Is(err, operator.ErrUnreachable))
+}
+
+// TestReadsSeeWhatWasAccepted reads at one replica right after another one
+// accepted a change.
+func TestReadsSeeWhatWasAccepted(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	g.Leader()
+	for i := range 150 {
+		out := apply(t, g, g.Client(i%3), operator.Change{Request: fmt.Sprintf("c%d", i), Put: []config.Object{service(t, fmt.Sprintf("c%d", i))}})
+		now, err := g.Client((i + 1) % 3).Configuration(context.Background())
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, now.Revision, out.Revision)
+	}
+}
--- a/internal/source/exchange.go
+++ b/internal/source/exchange.go
@@ -15,16 +15,18 @@
 
 // sibling is what this replica knows of its exchange with another one.
 type sibling struct {
+	name     string
 	client   *peer.Client
 	cursor   feed.Cursor
 	instance uint64
+	differs  time.Time // Since when the two directories have differed.
 }
 
 // runExchange tells the other replicas what daemons below this one report, so
 // that every replica knows the whole fleet.
 func (n *Node) runExchange() {
-	for _, c := range n.clients {
-		s := &sibling{client: c}
+	for name, c := range n.clients {
+		s := &sibling{name: name, client: c}
 		n.goDuty(func() { n.exchangeWith(s) })
 	}
 	for n.pause(time.Second) {
@@ -47,16 +49,39 @@
 }
 
 func (n *Node) exchangeOnce(s *sibling) {
-	records, reports, next := n.hub.ChangesBelow(s.cursor)
+	records, reports, next := n.hub.ChangesFor(s.name, s.cursor)
 	args := feed.ReportArgs{Host: n.config.Name, Ack: n.hub.Ack(), Records: records, Reports: reports}
 	var reply ExchangeReply
 	if err := s.client.Call("Source.Exchange", args, &reply, exchangeTimeout); err != nil {
 		return
 	}
 	s.cursor = next
-	if reply.Instance != s.instance {
-		// The other replica has started anew and lacks what it was told before.
-		s.cursor = feed.Cursor{}
+	n.mend(s, reply)
+}
+
+// differsMost is how long the directories of two replicas may differ before
+// they are compared. News on their way make them differ for a moment.
+const differsMost = 5 * time.Second
+
+// mend compares directories with a replica that has started anew, or whose
+// directory has differed for long.
+func (n *Node) mend(s *sibling, reply ExchangeReply) {
+	now := n.config.Clock()
+	if reply.Digest == n.hub.RecordsDigest() {
+		s.differs = time.Time{}
+		s.instance = reply.Instance
+		return
+	}
+	if s.differs.IsZero() {
+		s.differs = now
+	}
+	if s.instance == reply.Instance && now.Sub(s.differs) < differsMost {
+		return
+	}
+	s.differs = time.Time{}
+	cursor, err := n.hub.Reconcile(now, s.name, s.client)
+	if err == nil {
+		s.cursor = cursor
 		s.instance = reply.Instance
 	}
 }
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -195,18 +195,25 @@
 const (
 	proposeTimeout = 2 * time.Second
 	retryPause     = 25 * time.Millisecond
+	// leaderWait is how long a change waits for a leader to be found. It spans
+	// an election; a replica that is cut off lets the operator go elsewhere.
+	leaderWait = 1500 * time.Millisecond
 )
 
 // Propose has a command decided and waits for its outcome until deadline. It
 // may be called on any replica; a request sent again gets the first answer.
 func (n *Node) Propose(c ledger.Command, deadline time.Time) (ledger.Outcome, error) {
 	unknown := false
+	began := n.config.Clock()
 	for {
 		out, err := n.proposeOnce(c)
 		if err == nil || isFinal(err) {
 			return out, err
 		}
 		unknown = unknown || mayHaveBeenTaken(err)
+		if n.Leader() == "" && n.config.Clock().Sub(began) > leaderWait {
+			break
+		}
 		if n.config.Clock().Add(retryPause).After(deadline) || !n.pause(retryPause) {
 			break
 		}
--- a/internal/source/service.go
+++ b/internal/source/service.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/feed"
 	"github.com/endivewalk/endivewalk/internal/ledger"
 	"github.com/endivewalk/endivewalk/internal/peer"
@@ -107,11 +108,16 @@
 	}
 	s.node.hub.TakeSibling(s.node.config.Clock(), args)
 	reply.Instance = s.node.hub.Instance()
+	reply.Digest = s.node.hub.RecordsDigest()
 	return nil
 }
 
-// ExchangeReply tells which run of the replica took an exchange in.
-type ExchangeReply struct{ Instance uint64 }
+// ExchangeReply tells which run of the replica took an exchange in, and what
+// its directory is now.
+type ExchangeReply struct {
+	Instance uint64
+	Digest   directory.Digest
+}
 
 // Exists tells whether this replica belongs to a group that has begun.
 func (s *sourceService) Exists(_ ExistsArgs, reply *ExistsReply) error {
--- a/internal/source/status.go
+++ b/internal/source/status.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/feed"
 	"github.com/endivewalk/endivewalk/internal/ledger"
 	"github.com/endivewalk/endivewalk/internal/quorum"
 	"github.com/endivewalk/endivewalk/pkg/config"
@@ -63,12 +64,21 @@
 	return all
 }
 
+// readTimeout bounds how long a confirmed read waits for this replica to catch
+// up.
+const readTimeout = 2 * time.Second
+
 // Configuration returns the objects in force and who wrote them, at a revision
 // that a quorum has confirmed.
 func (n *Node) Configuration() (operator.Configuration, error) {
-	if _, err := n.Latest(); err != nil {
+	newest, err := n.Latest()
+	if err != nil {
 		return operator.Configuration{}, err
 	}
+	// The leader has confirmed the revision; this replica may still lag.
+	if !n.WaitRevision(newest, n.config.Clock().Add(readTimeout)) {
+		return operator.Configuration{}, feed.ErrUnconfirmed
+	}
 	return n.configurationHere(), nil
 }
 
