--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -29,6 +29,7 @@
 	loadLifetime = time.Second      // How long a told load is believed.
 	firstService = time.Millisecond // Taken for an upstream that never answered.
 	forgetAfter  = time.Minute
+	closedPause  = 2 * time.Second  // How long a target that takes no work is left out.
 	rampLeast    = 0.1 // The part of its share that a new upstream gets at once.
 )
 
@@ -196,6 +197,7 @@
 type Result struct {
 	Load   call.Load // Zero if none was told.
 	Failed bool      // The target could not be reached or broke off.
+	Closed bool      // The target takes no new work.
 }
 
 // Done ends a call that Pick counted.
@@ -209,6 +211,10 @@
 		s.load = r.Load
 		s.loadAt = now
 	}
+	if r.Closed {
+		s.ejected = now.Add(closedPause)
+		return
+	}
 	if !r.Failed {
 		s.failures, s.ejects = 0, 0
 		return
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -41,7 +41,12 @@
 			continue
 		}
 		refusal = call.AsRefusal(err)
-		if !e.mayRepeat(c, refusal) || attempt == attemptLimit || !e.mayRetry() {
+		if !e.mayRepeat(c, refusal) || attempt == attemptLimit {
+			return nil, refusal
+		}
+		// A target that takes no new work costs nobody anything, and is not
+		// asked again soon, so trying the next one needs no budget.
+		if refusal.Reason != call.ReasonDraining && !e.mayRetry() {
 			return nil, refusal
 		}
 	}
@@ -132,6 +137,7 @@
 		r := call.AsRefusal(err)
 		result.Load = r.Load
 		result.Failed = r.Run == call.RunUnknown || r.Reason == call.ReasonUnreachable
+		result.Closed = r.Reason == call.ReasonDraining
 		failed = r.Run == call.RunUnknown
 	} else {
 		result.Load = a.Load
