--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -270,7 +270,11 @@
 		w.Header().Del("Content-Length")
 		http.Error(w, "the version is bad", http.StatusInternalServerError)
 	case FaultTruncate:
+		// Without a length, only the broken connection shows that the answer is
+		// not whole.
+		w.Header().Del("Content-Length")
 		io.WriteString(w, text[:len(text)/2])
+		http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case FaultLate:
 		time.Sleep(time.Duration(f.Delay))
