--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -29,8 +29,8 @@
 	loadLifetime = time.Second      // How long a told load is believed.
 	firstService = time.Millisecond // Taken for an upstream that never answered.
 	forgetAfter  = time.Minute
-	closedPause  = 2 * time.Second  // How long a target that takes no work is left out.
-	rampLeast    = 0.1 // The part of its share that a new upstream gets at once.
+	closedPause  = 2 * time.Second // How long a target that takes no work is left out.
+	rampLeast    = 0.1             // The part of its share that a new upstream gets at once.
 )
 
 // key names one life of an upstream.
--- /dev/null
+++ b/internal/fleet/measure_test.go
@@ -0,0 +1,345 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/endivewalk/endivewalk/examples"
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/fleet"
+	"github.com/endivewalk/endivewalk/internal/standin"
+	"github.com/endivewalk/endivewalk/pkg/config"
+	"github.com/endivewalk/endivewalk/pkg/operator"
+)
+
+// The benchmarks here give the slopes of docs/CAPACITY.md. Run them with
+//
+//	go test -run '^$' -bench . -benchtime 1x ./internal/fleet
+
+// everyDaemon makes each daemon pull from the source itself, the baseline.
+const everyDaemon = 1 << 20
+
+func benchFleet(b *testing.B, daemons int, shape directory.Shape) *fleet.Fleet {
+	f, err := fleet.Start(fleet.Config{Folder: b.TempDir(), Shape: shape})
+	require.NoError(b, err)
+	b.Cleanup(f.Stop)
+	for i := range daemons {
+		_, err := f.StartDaemon(fmt.Sprintf("d%d", i), zones[i%len(zones)])
+		require.NoError(b, err)
+	}
+	d, err := config.Parse("mesh.jsonc", examples.KileleMesh)
+	require.NoError(b, err)
+	benchApply(b, f, "first", d.Objects()...)
+	require.True(b, fleet.Wait(context.Background(), patience, func() bool {
+		s, err := f.Client().Status(context.Background())
+		return err == nil && everywhere(f, 1) && s.Fleet.Known == daemons && s.Fleet.Reporting == daemons
+	}))
+	return f
+}
+
+func benchApply(b *testing.B, f *fleet.Fleet, request string, put ...config.Object) config.Revision {
+	var out operator.Outcome
+	require.True(b, fleet.Wait(context.Background(), patience, func() bool {
+		now, err := f.Client().Configuration(context.Background())
+		if err != nil {
+			return false
+		}
+		out, err = f.Client().Apply(context.Background(), operator.Change{Request: request, Replaces: now.Revision, Put: put})
+		return err == nil && out.Status == operator.Accepted
+	}))
+	return out.Revision
+}
+
+// traffic returns the bytes that daemons sent and received, and that the
+// source sent.
+func traffic(f *fleet.Fleet) (daemons, source int64) {
+	for _, d := range f.Daemons() {
+		daemons += d.Traffic().Sent() + d.Traffic().Received()
+	}
+	for i := range f.Replicas() {
+		source += f.Replica(i).Node.Traffic().Sent()
+	}
+	return daemons, source
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+const changesMeasured = 40
+
+// BenchmarkConvergence measures, for each size of fleet, the time from an
+// accepted change to the last daemon, and control bytes, for the tree and for
+// the baseline in which every daemon pulls from the source.
+func BenchmarkConvergence(b *testing.B) {
+	for _, size := range []int{8, 32, 128, 256} {
+		for name, shape := range map[string]directory.Shape{"tree": {}, "baseline": {Relays: everyDaemon}} {
+			b.Run(fmt.Sprintf("%s/daemons=%d", name, size), func(b *testing.B) {
+				f := benchFleet(b, size, shape)
+				for b.Loop() {
+					measureConvergence(b, f, size)
+				}
+			})
+		}
+	}
+}
+
+func measureConvergence(b *testing.B, f *fleet.Fleet, size int) {
+	const idle = 4 * time.Second
+	time.Sleep(time.Second)
+	daemonsBefore, sourceBefore := traffic(f)
+	cpuBefore := cpuTime()
+	time.Sleep(idle)
+	daemonsIdle, sourceIdle := traffic(f)
+	cpuIdle := cpuTime()
+	var all, worst []float64
+	for i := range changesMeasured {
+		last := measureChange(b, f, i, &all)
+		worst = append(worst, last)
+	}
+	time.Sleep(300 * time.Millisecond)
+	daemonsAfter, sourceAfter := traffic(f)
+	slices.Sort(all)
+	slices.Sort(worst)
+	b.ReportMetric(all[len(all)/2], "ms-median")
+	b.ReportMetric(all[len(all)*99/100], "ms-p99")
+	b.ReportMetric(worst[len(worst)-1], "ms-worst")
+	b.ReportMetric(float64(daemonsIdle-daemonsBefore)/idle.Seconds()/float64(size), "idle-B/s/daemon")
+	b.ReportMetric(float64(sourceIdle-sourceBefore)/idle.Seconds(), "idle-B/s-source")
+	b.ReportMetric(float64(cpuIdle-cpuBefore)/float64(idle)/float64(size)*100, "idle-%core/daemon")
+	b.ReportMetric(float64(daemonsAfter-daemonsIdle)/changesMeasured/float64(size), "B/change/daemon")
+	b.ReportMetric(float64(sourceAfter-sourceIdle)/changesMeasured, "B/change-source")
+	b.ReportMetric(0, "ns/op")
+}
+
+// measureChange makes one change and notes when each daemon has it.
+func measureChange(b *testing.B, f *fleet.Fleet, i int, all *[]float64) float64 {
+	o, err := config.MakeObject(config.Contract{Team: "clubs", Limit: fmt.Sprintf("%d bench-credits", 1000+i)})
+	require.NoError(b, err)
+	next := f.Replica(0).Node.Hub().State().Revision()
+	for r := range f.Replicas() {
+		next = max(next, f.Replica(r).Node.Hub().State().Revision())
+	}
+	next++
+	var mutex sync.Mutex
+	var took []float64
+	var group sync.WaitGroup
+	var begin time.Time
+	ready := make(chan struct{})
+	for _, d := range f.Daemons() {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			<-ready
+			for {
+				wake := d.Hub().Wake()
+				if d.Hub().State().Revision() >= next {
+					break
+				}
+				<-wake
+			}
+			mutex.Lock()
+			took = append(took, float64(time.Since(begin).Microseconds())/1000)
+			mutex.Unlock()
+		}()
+	}
+	begin = time.Now()
+	close(ready)
+	benchApply(b, f, fmt.Sprintf("c%d-%d", i, time.Now().UnixNano()), o)
+	group.Wait()
+	*all = append(*all, took...)
+	return slices.Max(took)
+}
+
+// BenchmarkHerd restarts half of the daemons at once and measures how long
+// until all have a change made in that moment, and how long the others need.
+func BenchmarkHerd(b *testing.B) {
+	for _, size := range []int{32, 128} {
+		b.Run(fmt.Sprintf("daemons=%d", size), func(b *testing.B) {
+			f := benchFleet(b, size, directory.Shape{})
+			for b.Loop() {
+				var group sync.WaitGroup
+				for i := range size / 2 {
+					group.Add(1)
+					go func() {
+						defer group.Done()
+						f.StopDaemon(fmt.Sprintf("d%d", i))
+					}()
+				}
+				group.Wait()
+				begin := time.Now()
+				for i := range size / 2 {
+					_, err := f.StartDaemon(fmt.Sprintf("d%d", i), zones[i%len(zones)])
+					require.NoError(b, err)
+				}
+				o, err := config.MakeObject(config.Contract{Team: "clubs", Limit: "77 bench-credits"})
+				require.NoError(b, err)
+				r := benchApply(b, f, fmt.Sprintf("herd-%d", time.Now().UnixNano()), o)
+				accepted := time.Now()
+				others := func() bool {
+					for i := size / 2; i < size; i++ {
+						if f.Daemon(fmt.Sprintf("d%d", i)).Hub().State().Revision() < r {
+							return false
+						}
+					}
+					return true
+				}
+				require.True(b, fleet.Wait(context.Background(), patience, others))
+				b.ReportMetric(float64(time.Since(accepted).Milliseconds()), "ms-others")
+				require.True(b, fleet.Wait(context.Background(), patience, func() bool { return everywhere(f, r) }))
+				b.ReportMetric(float64(time.Since(begin).Milliseconds()), "ms-all")
+			}
+		})
+	}
+}
+
+// BenchmarkAcceptedChanges measures how many changes the source accepts with
+// synced disks, one by one and many at once.
+func BenchmarkAcceptedChanges(b *testing.B) {
+	for _, writers := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("writers=%d", writers), func(b *testing.B) {
+			f, err := fleet.Start(fleet.Config{Folder: b.TempDir()})
+			require.NoError(b, err)
+			b.Cleanup(f.Stop)
+			require.True(b, fleet.Wait(context.Background(), patience, func() bool { return f.Leader() >= 0 }))
+			client := operator.Client{Token: fleet.Token, Sources: []string{f.Replica(f.Leader()).Operator}}
+			const span = 3 * time.Second
+			for b.Loop() {
+				count := make([]int, writers)
+				var group sync.WaitGroup
+				end := time.Now().Add(span)
+				for w := range writers {
+					group.Add(1)
+					go func() {
+						defer group.Done()
+						for i := 0; time.Now().Before(end); i++ {
+							o, _ := config.MakeObject(config.Service{Name: fmt.Sprintf("s%d", w), Version: "v1", Deadline: "finish"})
+							out, err := client.Apply(context.Background(), operator.Change{
+								Request: fmt.Sprintf("w%d-%d-%d", w, i, end.UnixNano()), Replaces: 0, Put: []config.Object{o},
+							})
+							if err == nil && out.Status != "" {
+								count[w]++
+							}
+						}
+					}()
+				}
+				group.Wait()
+				sum := 0
+				for _, n := range count {
+					sum += n
+				}
+				b.ReportMetric(float64(sum)/span.Seconds(), "decided/s")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// BenchmarkLeaderLoss measures how long no change is accepted after the leader
+// stops.
+func BenchmarkLeaderLoss(b *testing.B) {
+	f := benchFleet(b, 3, directory.Shape{})
+	var took []float64
+	for b.Loop() {
+		for range 5 {
+			require.True(b, fleet.Wait(context.Background(), patience, func() bool { return f.Leader() >= 0 }))
+			at := f.Leader()
+			f.StopReplica(at)
+			begin := time.Now()
+			o, err := config.MakeObject(config.Contract{Team: "clubs", Limit: "99 bench-credits"})
+			require.NoError(b, err)
+			benchApply(b, f, fmt.Sprintf("loss-%d", begin.UnixNano()), o)
+			took = append(took, float64(time.Since(begin).Milliseconds()))
+			require.NoError(b, f.StartReplica(at))
+			time.Sleep(500 * time.Millisecond)
+		}
+	}
+	slices.Sort(took)
+	b.ReportMetric(took[len(took)/2], "ms-median")
+	b.ReportMetric(took[len(took)-1], "ms-worst")
+}
+
+// BenchmarkAddedLatency calls a worker in turn directly and through two
+// daemons, and reports the difference at the median and for 99 in 100.
+func BenchmarkAddedLatency(b *testing.B) {
+	f := benchFleet(b, 2, directory.Shape{})
+	s, err := f.StartStandin("d0", standin.Config{ID: "w", Service: "availability", Version: "v1", Slots: 64, Connections: 110})
+	require.NoError(b, err)
+	require.True(b, fleet.Wait(context.Background(), patience, func() bool {
+		return len(f.Daemon("d1").Hub().View().Targets("availability", "v1")) == 1
+	}))
+	through := f.Daemon("d1").Addresses().Caller
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	one := func(address string) float64 {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+address+"/internal/benches", nil)
+		r.Header.Set(call.HeaderTeam, "services")
+		begin := time.Now()
+		response, err := client.Do(r)
+		require.NoError(b, err)
+		var sb strings.Builder
+		response.Write(&sb)
+		response.Body.Close()
+		took := time.Since(begin)
+		require.Equal(b, http.StatusOK, response.StatusCode)
+		return float64(took.Nanoseconds()) / 1e6
+	}
+	const calls = 6000
+	for b.Loop() {
+		var direct, mesh []float64
+		for i := range calls {
+			d, m := one(s.Address()), one(through)
+			if i > calls/10 {
+				direct, mesh = append(direct, d), append(mesh, m)
+			}
+		}
+		slices.Sort(direct)
+		slices.Sort(mesh)
+		at := func(sorted []float64, q float64) float64 { return sorted[int(q*float64(len(sorted)-1))] }
+		for _, q := range []struct {
+			name string
+			q    float64
+		}{{"p50", 0.5}, {"p99", 0.99}} {
+			b.ReportMetric(at(direct, q.q), "ms-direct-"+q.name)
+			b.ReportMetric(at(mesh, q.q), "ms-mesh-"+q.name)
+			b.ReportMetric(at(mesh, q.q)-at(direct, q.q), "ms-added-"+q.name)
+		}
+		b.ReportMetric(0, "ns/op")
+	}
+	cpu := cpuTime()
+	before := time.Now()
+	count := 0
+	for time.Since(before) < time.Second {
+		one(through)
+		count++
+	}
+	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(count), "cpu-us/call-all-three")
+}
+
+// BenchmarkMemory reports the memory that each further daemon costs.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc + m.StackInuse)
+	}
+	for b.Loop() {
+		before := heap()
+		f := benchFleet(b, 64, directory.Shape{})
+		b.ReportMetric((heap()-before)/64/1024, "KiB/daemon")
+		f.Stop()
+	}
+}
--- /dev/null
+++ b/internal/processtest/session_test.go
@@ -0,0 +1,226 @@
+package processtest_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/processtest"
+)
+
+// session runs operators' commands and writes down what they say.
+type session struct {
+	t      *testing.T
+	g      *processtest.Group
+	folder string // Where the operator's files are.
+	text   bytes.Buffer
+}
+
+var (
+	times    = regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z|\d\d:\d\d:\d\d\.\d{3}`)
+	waits    = regexp.MustCompile(`(?m)^ *\d+\.\d\d s  .*\n`)
+	measured = regexp.MustCompile(`heard of \d+ ms ago \(asked source-\d, a \w+\)`)
+	leaders  = regexp.MustCompile(`leader source-\d, term \d+`)
+	synced   = regexp.MustCompile(`true +\d+`)
+	places   = regexp.MustCompile(`TIME  zone-\d  source-\d`)
+)
+
+// run runs one command and returns its exit code.
+func (s *session) run(args ...string) int {
+	command := exec.Command(program, args...)
+	command.Dir = s.folder
+	command.Env = append(os.Environ(),
+		"ENDIVEWALK_SOURCES="+strings.Join(s.g.Client().Sources, ","), "ENDIVEWALK_TOKEN="+processtest.Token)
+	var out bytes.Buffer
+	command.Stdout, command.Stderr = &out, &out
+	err := command.Run()
+	if _, failed := err.(*exec.ExitError); err != nil && !failed {
+		require.NoError(s.t, err)
+	}
+	text := out.String()
+	for _, r := range []struct {
+		pattern *regexp.Regexp
+		with    string
+	}{{waits, ""}, {times, "TIME"}, {measured, "heard of lately"}, {leaders, "leader ONE OF THEM"}, {synced, "true   ALL"}, {places, "TIME  LEADER"}} {
+		text = r.pattern.ReplaceAllString(text, r.with)
+	}
+	code := command.ProcessState.ExitCode()
+	fmt.Fprintf(&s.text, "$ endivewalk %s\n%sexit %d\n\n", strings.Join(args, " "), text, code)
+	return code
+}
+
+// TestOperatorsDay runs a whole session of an operator with real processes and
+// compares what it says with a golden file.
+func TestOperatorsDay(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	for i, name := range []string{"d1", "d2", "d3", "d4"} {
+		g.StartDaemon(name, fmt.Sprintf("zone-%d", i%3+1))
+	}
+	g.Leader()
+	g.Eventually(20*time.Second, "fleet", func() bool {
+		s, err := g.Client().Status(t.Context())
+		return err == nil && s.Fleet.Known == 4 && s.Fleet.Reporting == 4
+	})
+	folder := t.TempDir()
+	write := func(name, text string) {
+		require.NoError(t, os.WriteFile(filepath.Join(folder, name), []byte(text), 0o644))
+	}
+	mesh, err := os.ReadFile(filepath.Join(repository, "examples", "kilele", "mesh.jsonc"))
+	require.NoError(t, err)
+	write("mesh.jsonc", string(mesh))
+	write("more.jsonc", `{"contracts": [{"team": "clubs", "limit": "7000 bench-credits"}]}`)
+	write("other.jsonc", `{"contracts": [{"team": "clubs", "limit": "8000 bench-credits"}]}`)
+	write("ponies.jsonc", "{\n  \"contracts\": [\n    {\"team\": \"clubs\", \"limit\": \"5 ponies\"},\n  ],\n}")
+	write("typo.jsonc", "{\n  \"contract\": []\n}")
+	s := &session{t: t, g: g, folder: folder}
+	s.run("check", "mesh.jsonc")
+	s.run("apply", "mesh.jsonc", "--request", "day-1", "--wait")
+	s.run("status")
+	s.run("apply", "more.jsonc", "--version", "1", "--request", "day-2")
+	s.run("apply", "other.jsonc", "--version", "1", "--request", "day-3")
+	s.run("apply", "more.jsonc", "--version", "1", "--request", "day-2")
+	s.run("apply", "other.jsonc", "--request", "day-2")
+	s.run("apply", "ponies.jsonc", "--request", "day-4")
+	s.run("apply", "typo.jsonc")
+	s.run("get", "contract/")
+	s.run("get", "contract/", "--json")
+	s.run("get", "pony/")
+	s.run("move", "stock", "--to", "v2")
+	s.run("move", "ponies", "--to", "v2", "--by", "10m", "--request", "day-5")
+	s.run("move", "stock", "--to", "v1", "--by", "10m", "--request", "day-6")
+	s.run("move", "stock", "--to", "v2", "--by", "10m", "--request", "day-7")
+	s.run("move", "stock", "--to", "v3", "--by", "10m", "--request", "day-8")
+	s.run("move", "stock", "--back", "--request", "day-9")
+	s.run("moves")
+	s.run("timeline", "--of", "day-2")
+	s.run("status", "--token", "wrong")
+	s.run("status", "--sources", "127.0.0.1:1")
+	s.run("apply")
+	goldie.New(t).Assert(t, "operators-day", s.text.Bytes())
+}
+
+// repository is the root of this module.
+var repository = func() string {
+	here, err := os.Getwd()
+	if err != nil {
+		panic(err)
+	}
+	return filepath.Join(here, "..", "..")
+}()
+
+// TestDaemonsLife starts a daemon, has it catch up and serve, asks it to end,
+// and checks that it leaves with exit code 0 and no call cut off.
+func TestDaemonsLife(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	first := applyNow(t, g, "base", kilele(t)...)
+	d := g.StartDaemon("d1", "zone-1")
+	g.StartDaemon("d2", "zone-2")
+	g.StartStandin("d1", "stock-1", "stock", "v1", "--work", "20ms")
+	g.StartStandin("d2", "stock-2", "stock", "v1", "--work", "20ms")
+	get := func(daemon string) (int, string, error) {
+		r, err := http.NewRequest(http.MethodGet, "http://"+g.Caller(daemon)+"/counters/wax", nil)
+		require.NoError(t, err)
+		r.Header.Set(call.HeaderTeam, "counters")
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0, "", err
+		}
+		defer response.Body.Close()
+		return response.StatusCode, response.Header.Get(call.HeaderRun), nil
+	}
+	g.Eventually(20*time.Second, "a served call", func() bool {
+		status, run, err := get("d1")
+		return err == nil && status == http.StatusOK && run == string(call.RunRan)
+	})
+	before, err := g.Status("d1")
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, before.Revision, first.Revision)
+	stop := make(chan struct{})
+	failed := make(chan error, 8)
+	for range 8 {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					failed <- nil
+					return
+				default:
+				}
+				status, _, err := get("d1")
+				if err != nil && strings.Contains(err.Error(), "connection refused") {
+					failed <- nil
+					return
+				}
+				if err != nil || status != http.StatusOK {
+					failed <- fmt.Errorf("status %d, %v", status, err)
+					return
+				}
+			}
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	d.Signal(syscall.SIGTERM)
+	require.Equal(t, 0, d.Wait(20*time.Second))
+	close(stop)
+	for range 8 {
+		require.NoError(t, <-failed)
+	}
+	// It comes back on the same addresses, and serves nothing older.
+	g.StartDaemon("d1", "zone-1")
+	g.Eventually(20*time.Second, "readiness", func() bool {
+		s, err := g.Status("d1")
+		return err == nil && s.Ready && s.Revision >= before.Revision
+	})
+}
+
+// TestKilledDaemonServesNothingOlder kills a daemon again and again while
+// changes go on; whenever it serves, it has at least what it had before.
+func TestKilledDaemonServesNothingOlder(t *testing.T) {
+	t.Parallel()
+	g := processtest.New(t, program)
+	applyNow(t, g, "base", kilele(t)...)
+	g.StartDaemon("d2", "zone-1")
+	highest := uint64(0)
+	for round := range 6 {
+		d := g.StartDaemon("d1", "zone-1")
+		out := applyNow(t, g, fmt.Sprintf("c%d", round), contract(t, "clubs", 100+round))
+		g.Eventually(20*time.Second, "readiness", func() bool {
+			s, err := g.Status("d1")
+			if err != nil || !s.Ready {
+				return false
+			}
+			require.GreaterOrEqual(t, uint64(s.Revision), highest)
+			highest = uint64(s.Revision)
+			return s.Revision >= out.Revision
+		})
+		d.Kill()
+	}
+}
+
+// TestBadSettings refuses to start with settings that name every fault.
+func TestBadSettings(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "bad.jsonc")
+	require.NoError(t, os.WriteFile(path, []byte("{\n  \"name\": \"a b\",\n  \"zone\": 5,\n  \"extra\": 1,\n}"), 0o644))
+	for _, role := range []string{"source", "daemon"} {
+		out, err := exec.Command(program, role, "--settings", path).CombinedOutput()
+		require.Error(t, err)
+		require.Equal(t, 2, err.(*exec.ExitError).ExitCode())
+		require.Contains(t, string(out), "bad.jsonc:3:11: zone: want a string, got a number")
+		require.Contains(t, string(out), "bad.jsonc:4:3: extra: unknown field")
+	}
+}
--- a/internal/processtest/source_test.go
+++ b/internal/processtest/source_test.go
@@ -358,3 +358,16 @@
 		require.GreaterOrEqual(t, now.Revision, out.Revision)
 	}
 }
+
+// applyNow applies objects over the newest revision.
+func applyNow(t testing.TB, g *processtest.Group, request string, put ...config.Object) operator.Outcome {
+	var now operator.Configuration
+	g.Eventually(20*time.Second, "configuration", func() bool {
+		var err error
+		now, err = g.Client().Configuration(context.Background())
+		return err == nil
+	})
+	out := apply(t, g, g.Client(), operator.Change{Request: request, Replaces: now.Revision, Put: put})
+	require.Equal(t, operator.Accepted, out.Status, "%v", out)
+	return out
+}
--- a/pkg/operator/answer.go
+++ b/pkg/operator/answer.go
@@ -24,6 +24,9 @@
 		}
 		return nil
 	}
+	if status == http.StatusUnauthorized {
+		return ErrUnauthorized
+	}
 	var f Failure
 	if json.Unmarshal(data, &f) != nil || f.Error == "" {
 		f.Error = http.StatusText(status)
@@ -33,8 +36,6 @@
 
 func errorOf(status int) error {
 	switch status {
-	case http.StatusUnauthorized:
-		return ErrUnauthorized
 	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge:
 		return ErrInvalid
 	case http.StatusInsufficientStorage:
