--- /dev/null
+++ b/cmd/endivewalk/experiment.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/endivewalk/endivewalk/internal/experiment"
+)
+
+func newExperiment(o *options) *cobra.Command {
+	var c experiment.Config
+	cmd := &cobra.Command{
+		Use:   "experiment",
+		Short: "Try the decision on moves over kinds of fault, seeds and policies",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			begin := time.Now()
+			results := experiment.Run(c)
+			if o.json {
+				return printJSON(cmd.OutOrStdout(), results)
+			}
+			printExperiment(cmd.OutOrStdout(), results)
+			fmt.Fprintf(cmd.OutOrStdout(), "\nseeds %d to %d, %.0f s\n", c.First, c.First+uint64(c.Seeds)-1, time.Since(begin).Seconds())
+			return nil
+		},
+	}
+	cmd.Flags().IntVar(&c.Seeds, "seeds", 100, "runs of each cell and policy")
+	cmd.Flags().Uint64Var(&c.First, "first", 0, "the first seed")
+	cmd.Flags().DurationVar(&c.Window, "window", 10*time.Minute, "time of each move")
+	return cmd
+}
+
+func printExperiment(w io.Writer, results []experiment.Result) {
+	table(w, func(row func(...any)) {
+		row("CELL", "DECISION", "POLICY", "DONE", "TAKEN BACK", "RIGHT", "TOUCHED", "AT MOST", "SECONDS", "")
+		for _, r := range results {
+			short := ""
+			if r.Decision == "judge" && r.Short() {
+				short = "SHORT"
+			}
+			seconds := "-"
+			if r.TakenBack > 0 {
+				seconds = fmt.Sprintf("%.1f", r.Seconds)
+			}
+			row(r.Cell, r.Decision, r.Policy, r.Done, r.TakenBack, fmt.Sprintf("%.0f %%", 100*r.Right()),
+				fmt.Sprintf("%.3f %%", 100*r.Touched), fmt.Sprintf("%.3f %%", 100*r.TouchedMax), seconds, short)
+		}
+	})
+	fmt.Fprintln(w, "\npart of the runs that ended as they should:")
+	table(w, func(row func(...any)) {
+		for _, r := range results {
+			const width = 40
+			filled := int(r.Right() * width)
+			row(r.Cell, r.Decision, r.Policy, strings.Repeat("#", filled)+strings.Repeat(".", width-filled))
+		}
+	})
+}
--- a/cmd/endivewalk/main.go
+++ b/cmd/endivewalk/main.go
@@ -87,7 +87,7 @@
 	root.AddCommand(
 		newSource(), newDaemon(), newStandin(), newDemo(o), newToken(o),
 		newApply(o), newGet(o), newCheck(o), newStatus(o),
-		newMove(o), newMoves(o), newTimeline(o),
+		newMove(o), newMoves(o), newTimeline(o), newExperiment(o),
 	)
 	return root
 }
