Moves: one bad host is told from a bad version, late faults in seconds

(2) At full share there are no calls of the old version to compare with, so late faults went unseen. (3) A bad host was told from a bad version by a fixed bound, which noise crosses within a long move. (4) With little traffic the smallest share brought no calls, so takeback took good versions back and finish went on blindly.

Ruled out: the old version's history as the comparison at full share; a shared dependency that fails late would take good versions back.

Change: bets begin anew at zero, with a bound 20 times higher; the last share is 90 %, and a proved move is done at 97 % of its time; a host stands alone if less than half of the evidence is left without it, on the same route and kind; unclear evidence holds the share; little traffic begins with a larger share and asks for less proof.

--- a/internal/experiment/model.go
+++ b/internal/experiment/model.go
@@ -51,6 +51,8 @@
 	{"slow at once, 2x", true, ordinaryRate, Fault{Slow: 2}},
 	{"fails later", true, ordinaryRate, Fault{Fail: 0.2, After: 0.5}},
 	{"slow later, 3x", true, ordinaryRate, Fault{Slow: 3, After: 0.5}},
+	{"fails late in the move", true, ordinaryRate, Fault{Fail: 0.2, After: 0.85}},
+	{"slow late in the move, 3x", true, ordinaryRate, Fault{Slow: 3, After: 0.85}},
 	{"fails under load", true, ordinaryRate, Fault{Fail: 0.2, Load: 500}},
 	{"slow under load, 3x", true, ordinaryRate, Fault{Slow: 3, Load: 500}},
 	{"fails on one route", true, ordinaryRate, Fault{Fail: 0.2, Route: 3}},
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -11,21 +12,37 @@
 
 // Policy holds the bounds of the decision. Zero fields get defaults.
 type Policy struct {
-	// Ladder holds the shares of the new version, in thousandths, rising to
-	// config.FullShare.
+	// Ladder holds the shares of the new version, in thousandths, rising. The
+	// last one leaves the old version some calls to compare with; a move is
+	// done from there.
 	Ladder []int
-	// Doubt is the largest probability of taking a good version back.
+	// Doubt is about the largest probability of taking a good version back.
 	Doubt float64
 	// Ramp is the part of the time up to the deadline in which the share
-	// rises; in the rest the new version is watched at full share.
+	// rises; after that the new version is watched at the last share.
 	Ramp float64
 	// Proof is how many calls of the new version a step needs before the next.
+	// A service with little traffic needs fewer.
 	Proof int64
 }
 
 // DefaultLadder dwells on small shares, so that a version that is bad at once
 // or on one route touches few calls.
-var DefaultLadder = []int{5, 10, 50, 200, 500, config.FullShare}
+var DefaultLadder = []int{5, 10, 50, 200, 500, 900}
+
+const (
+	// doneAt is the part of the time after which a proved move is done. It
+	// leaves time for the change to be in force before the deadline.
+	doneAt = 0.97
+	// proofPart is the part of a service's calls during a move that a step's
+	// proof may take.
+	proofPart = 0.01
+	// proofLeast is the least proof of a step.
+	proofLeast = 8
+	// restarts makes up for bets that begin anew: each new beginning is a new
+	// chance to take a good version back.
+	restarts = 20
+)
 
 func (p Policy) withDefaults() Policy {
 	if len(p.Ladder) == 0 {
@@ -57,25 +74,25 @@
 type Judge struct {
 	policy Policy
 	routes map[string]*trial
-	hosts  map[string]*trial
-	others map[string]*trial // The new version without that host.
-	stepAt int64             // Calls of the new version when the share was set.
-	share  int
+	// without holds, for each host of the new version, the trials of the
+	// routes as they would be if that host did not exist.
+	without map[string]map[string]*trial
+	stepAt  int64 // Calls of the new version when the share was set.
+	share   int
 }
 
 // NewJudge returns a judge that has seen nothing.
 func NewJudge(p Policy) *Judge {
 	return &Judge{
 		policy: p.withDefaults(), routes: map[string]*trial{},
-		hosts: map[string]*trial{}, others: map[string]*trial{}, share: -1,
+		without: map[string]map[string]*trial{}, share: -1,
 	}
 }
 
 // Observe takes in the sums of the evidence of a move at now.
 func (j *Judge) Observe(now time.Time, m config.Move, rows []evidence.Row) {
 	routes := map[string][2]counts{}
-	hosts := map[string]counts{}
-	var all [2]counts
+	hosts := map[string]map[string]counts{}
 	for _, r := range rows {
 		side := sideOf(m, r)
 		if side < 0 {
@@ -84,19 +101,24 @@
 		c := routes[r.Route]
 		c[side].add(r)
 		routes[r.Route] = c
-		all[side].add(r)
-		if side == newSide {
-			h := hosts[r.Host]
-			h.add(r)
-			hosts[r.Host] = h
+		if side != newSide {
+			continue
 		}
+		if hosts[r.Host] == nil {
+			hosts[r.Host] = map[string]counts{}
+		}
+		h := hosts[r.Host][r.Route]
+		h.add(r)
+		hosts[r.Host][r.Route] = h
 	}
-	for name, c := range routes {
-		look(now, j.routes, name, c)
-	}
-	for name, h := range hosts {
-		look(now, j.hosts, name, [2]counts{all[oldSide], h})
-		look(now, j.others, name, [2]counts{all[oldSide], all[newSide].minus(h)})
+	for route, c := range routes {
+		look(now, j.routes, route, c)
+		for host, own := range hosts {
+			if j.without[host] == nil {
+				j.without[host] = map[string]*trial{}
+			}
+			look(now, j.without[host], route, [2]counts{c[oldSide], c[newSide].minus(own[route])})
+		}
 	}
 }
 
@@ -136,14 +158,18 @@
 		j.share = m.Share
 		j.stepAt = calls
 	}
-	bad, reason := j.verdict()
+	found, reason := j.judge(j.bound())
+	late := !now.Before(m.By)
 	switch {
-	case bad:
+	case found == verdictBad, found == verdictUnclear && late:
 		return j.takeBack(d, reason)
 	case slots[newSide] == 0 && m.Share > 0:
 		return j.takeBack(d, "no upstream of the new version is left")
-	case !now.Before(m.By):
+	case late:
 		return j.atDeadline(d, m, deadline)
+	case found == verdictUnclear:
+		d.Reason = reason
+		return d
 	default:
 		return j.climb(now, d, m, slots, deadline, reason)
 	}
@@ -164,54 +190,83 @@
 	return d
 }
 
-// verdict reports whether the new version is bad. If the evidence comes from
-// one host alone, it is not the version that is bad; then the reason says so.
-func (j *Judge) verdict() (bad bool, reason string) { return j.verdictAt(j.bound()) }
+// verdict is what the evidence says of the new version.
+type verdict uint8
+
+const (
+	verdictNothing verdict = iota // Nothing speaks against it.
+	verdictBad
+	verdictUnclear // It is bad, or one of its hosts is.
+	verdictOneHost // One of its hosts is bad, not the version.
+)
+
+// bound returns the evidence, as the logarithm of odds, at which a route speaks
+// against the new version. It rises with the number of routes, each of which
+// may do so by chance.
+func (j *Judge) bound() float64 {
+	return math.Log(float64(max(1, len(j.routes))) / j.policy.Doubt * restarts)
+}
 
-// bound returns the odds at which a route speaks against the new version. It
-// rises with the number of routes, each of which may do so by chance.
-func (j *Judge) bound() float64 { return float64(max(1, len(j.routes))) / j.policy.Doubt }
+const (
+	// alonePart is the part of the evidence that must be left without a host
+	// for that host not to stand alone.
+	alonePart = 0.5
+	// clearFactor is how many times the bound it takes to blame one host.
+	clearFactor = 2
+)
 
-func (j *Judge) verdictAt(bound float64) (bad bool, reason string) {
-	names := make([]string, 0, len(j.routes))
-	for name := range j.routes {
-		names = append(names, name)
+// judge weighs the routes. Were the version bad, most of the evidence would be
+// left if one of its hosts did not exist; if hardly any is left without some
+// host, it is that host.
+func (j *Judge) judge(bound float64) (verdict, string) {
+	route, what, strongest := j.worst(bound)
+	if route == "" {
+		return verdictNothing, ""
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		odds, what := j.routes[name].strength()
-		if odds < bound {
-			continue
-		}
-		if host, one := j.oneHost(bound); one {
-			return false, "waits: only host " + host + " of the new version is " + what
-		}
-		return true, j.describe(name, what)
+	host, left := j.leastWithout(route, what)
+	switch {
+	case len(j.without) < 2 || left >= alonePart*strongest:
+		return verdictBad, j.describe(route, what)
+	case strongest < clearFactor*bound:
+		return verdictUnclear, "waits for more evidence: " + j.describe(route, what) + ", most of it on host " + host
+	default:
+		return verdictOneHost, "only host " + host + " of the new version is " + string(what)
 	}
-	return false, ""
 }
 
-// oneHost reports whether one host of several stands alone against the new
-// version: it is bad by itself, and the others have answered as many calls
-// without speaking against the version.
-func (j *Judge) oneHost(bound float64) (string, bool) {
-	if len(j.hosts) < 2 {
-		return "", false
+// worst returns the route with the strongest evidence, if that reaches bound.
+func (j *Judge) worst(bound float64) (route string, what kind, strongest float64) {
+	strongest = bound
+	for name, t := range j.routes {
+		for _, k := range []kind{kindFailing, kindSlow} {
+			s := t.strength(k)
+			if s > strongest || (s == strongest && (route == "" || name < route)) {
+				route, what, strongest = name, k, s
+			}
+		}
 	}
-	for name, t := range j.hosts {
-		odds, _ := t.strength()
-		rest, _ := j.others[name].strength()
-		enough := j.others[name].total[newSide].calls >= t.total[newSide].calls
-		if odds >= bound && rest < 2 && enough {
-			return name, true
+	return route, what, strongest
+}
+
+// leastWithout returns the host without which the least evidence is left on a
+// route, and how much that is.
+func (j *Judge) leastWithout(route string, what kind) (host string, left float64) {
+	left = math.Inf(1)
+	for name, trials := range j.without {
+		t := trials[route]
+		if t == nil {
+			continue
+		}
+		if s := t.strength(what); s < left || (s == left && name < host) {
+			host, left = name, s
 		}
 	}
-	return "", false
+	return host, left
 }
 
-func (j *Judge) describe(route, what string) string {
+func (j *Judge) describe(route string, what kind) string {
 	t := j.routes[route]
-	if what == "failing" {
+	if what == kindFailing {
 		return fmt.Sprintf("route %s is failing: %d of %d calls of the new version, %d of %d of the old",
 			route, t.total[newSide].failed, t.total[newSide].calls, t.total[oldSide].failed, t.total[oldSide].calls)
 	}
@@ -223,75 +278,125 @@
 
 // atDeadline ends a move whose time is up by the policy of its service.
 func (j *Judge) atDeadline(d Decision, m config.Move, deadline string) Decision {
-	if m.Share == config.FullShare {
-		d.State = config.MoveDone
-		d.Reason = "in time, and nothing speaks against the new version"
-		return d
+	last := j.policy.Ladder[len(j.policy.Ladder)-1]
+	if m.Share >= last {
+		return finish(d, "in time, and nothing speaks against the new version")
 	}
 	if deadline == config.DeadlineTakeBack {
 		return j.takeBack(d, fmt.Sprintf("time ran out at a share of %.1f %% without proof", float64(m.Share)/10))
 	}
+	return finish(d, fmt.Sprintf("time ran out at a share of %.1f %%; nothing speaks against the new version", float64(m.Share)/10))
+}
+
+func finish(d Decision, reason string) Decision {
 	d.State = config.MoveDone
 	d.Share = config.FullShare
-	d.Reason = fmt.Sprintf("time ran out at a share of %.1f %%; nothing speaks against the new version", float64(m.Share)/10)
+	d.Reason = reason
 	return d
 }
 
 // climb takes the next step of the ladder when its time has come and the
 // present one has been proved.
-func (j *Judge) climb(now time.Time, d Decision, m config.Move, slots [2]int, deadline, waits string) Decision {
-	i := slices.IndexFunc(j.policy.Ladder, func(share int) bool { return share > m.Share })
-	if waits != "" {
-		d.Reason = waits
+func (j *Judge) climb(now time.Time, d Decision, m config.Move, slots [2]int, deadline, note string) Decision {
+	if slots[newSide] == 0 {
 		return d
 	}
-	if i < 0 || slots[newSide] == 0 {
+	plan := j.plan(now, m)
+	i := slices.IndexFunc(plan.ladder, func(share int) bool { return share > m.Share })
+	switch {
+	case i < 0 && !now.Before(at(m, doneAt)):
+		return finish(d, "in time, and nothing speaks against the new version")
+	case i < 0:
 		return d
-	}
-	next := j.policy.Ladder[i]
-	if i == 0 {
-		d.Share = next
+	case i == 0:
+		d.Share = plan.ladder[0]
 		d.Reason = "begins"
 		return d
-	}
-	if now.Before(j.stepTime(m, i)) {
+	case now.Before(plan.due[i]):
 		return d
 	}
-	proved := d.Touched-j.stepAt >= j.policy.Proof
-	if !proved && !j.hurries(now, m, i, deadline) {
+	proved := d.Touched-j.stepAt >= plan.proof
+	if !proved && !(deadline == config.DeadlineFinish && now.After(plan.due[i].Add(plan.patience))) {
 		return d
 	}
-	d.Share = next
+	d.Share = plan.ladder[i]
 	d.Reason = "nothing speaks against the new version"
-	if !proved {
+	switch {
+	case !proved:
 		d.Reason = "few calls, but time runs short"
+	case note != "":
+		d.Reason = note
 	}
 	return d
 }
 
-// stepTime returns when step i of the ladder is due: steps are spread evenly
-// over the part of the time in which the share rises.
-func (j *Judge) stepTime(m config.Move, i int) time.Time {
-	span := m.By.Sub(m.Start).Seconds() * j.policy.Ramp
-	part := span * float64(i) / float64(len(j.policy.Ladder)-1)
-	return m.Start.Add(time.Duration(part * float64(time.Second)))
+// plan is what the steps of a move are at its present traffic.
+type plan struct {
+	ladder   []int
+	due      []time.Time
+	proof    int64
+	patience time.Duration // How long a step may wait for its proof.
 }
 
-// hurries reports whether a step is taken without proof. Where the policy
-// favours finishing, that is after half a step's time of waiting; where it
-// favours taking back, never.
-func (j *Judge) hurries(now time.Time, m config.Move, i int, deadline string) bool {
-	if deadline == config.DeadlineTakeBack {
-		return false
+// plan spreads the steps evenly over the part of the time in which the share
+// rises. With little traffic it begins with a share that can be proved in a
+// step's time, and asks for less proof.
+func (j *Judge) plan(now time.Time, m config.Move) plan {
+	window := m.By.Sub(m.Start)
+	span := time.Duration(float64(window) * j.policy.Ramp)
+	p := plan{ladder: j.policy.Ladder, proof: j.policy.Proof, patience: span / time.Duration(2*len(j.policy.Ladder))}
+	expected, known := j.expectedCalls(now, m)
+	if known {
+		p.proof = min(p.proof, max(proofLeast, int64(expected*proofPart)))
+		inStep := expected * j.policy.Ramp / float64(len(p.ladder))
+		least := int(math.Ceil(float64(p.proof) * provable / max(inStep, 1) * config.FullShare))
+		first := slices.IndexFunc(p.ladder, func(share int) bool { return share >= least })
+		if first < 0 {
+			first = len(p.ladder) - 1
+		}
+		p.ladder = p.ladder[first:]
+	}
+	for i := range p.ladder {
+		part := float64(span) * float64(i) / float64(max(1, len(p.ladder)-1))
+		p.due = append(p.due, m.Start.Add(time.Duration(part)))
 	}
-	wait := j.stepTime(m, 1).Sub(m.Start) / 2
-	return !now.Before(j.stepTime(m, i).Add(wait))
+	return p
+}
+
+// provable is how many times its proof a step's share should bring.
+const provable = 1.3
+
+// rateKnownAfter is the part of the time after which the traffic is known well
+// enough to plan by.
+const rateKnownAfter = 0.02
+
+// expectedCalls returns how many calls a service is likely to get during the
+// whole move.
+func (j *Judge) expectedCalls(now time.Time, m config.Move) (float64, bool) {
+	passed := now.Sub(m.Start)
+	if now.Before(at(m, rateKnownAfter)) {
+		return 0, false
+	}
+	calls := int64(0)
+	for _, t := range j.routes {
+		calls += t.total[oldSide].calls + t.total[newSide].calls
+	}
+	return float64(calls) / passed.Seconds() * m.By.Sub(m.Start).Seconds(), true
+}
+
+// at returns the moment at which a part of a move's time has passed.
+func at(m config.Move, part float64) time.Time {
+	return m.Start.Add(time.Duration(float64(m.By.Sub(m.Start)) * part))
 }
 
 // Bad reports whether the evidence of one daemon alone speaks against the new
 // version, and why. It asks for stronger evidence than Decide does, since each
 // of many daemons asks.
-func (j *Judge) Bad() (bool, string) { return j.verdictAt(j.bound() * brakeFactor) }
+func (j *Judge) Bad() (bool, string) {
+	found, reason := j.judge(j.bound() + brakeMore)
+	return found == verdictBad, reason
+}
 
-// brakeFactor is how much stronger the evidence of one daemon must be.
-const brakeFactor = 100
+// brakeMore is how much stronger the evidence of one daemon must be, as a
+// logarithm.
+const brakeMore = 4.6
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -17,9 +17,8 @@
 var ratios = []float64{1.5, 2, 4, 16, 64}
 
 // wealth is the outcome of betting that bad calls are more likely in the new
-// version than in the old one. If they are not, its mean never exceeds one,
-// however often it is looked at, so that it exceeds a bound 1/a with a
-// probability of at most a.
+// version than in the old one. A bet that has lost all begins anew, so that a
+// fault that comes late is not weighed against the good times before it.
 //
 // Each bad call is a bet: given that one happened among n new and m old calls,
 // it is the new version's with a probability of n/(n+m) if both are alike.
@@ -36,7 +35,7 @@
 	for i, r := range ratios {
 		q := r * p / (r*p + 1 - p)
 		gain := float64(newBad)*math.Log(q/p) + float64(oldBad)*math.Log((1-q)/(1-p))
-		w[i] += min(gain, most)
+		w[i] = max(w[i]+min(gain, most), 0)
 	}
 }
 
@@ -182,12 +181,19 @@
 	}
 }
 
-// strength returns the evidence against the new version, as odds, and what it
-// is that speaks against it.
-func (t *trial) strength() (float64, string) {
-	failing, slow := t.failing.value(), t.slow.value()
-	if slow > failing {
-		return slow, "slow"
+// kind names what speaks against a version.
+type kind string
+
+const (
+	kindFailing kind = "failing"
+	kindSlow    kind = "slow"
+)
+
+// strength returns the evidence of a kind against the new version, as the
+// logarithm of odds.
+func (t *trial) strength(k kind) float64 {
+	if k == kindSlow {
+		return math.Log(t.slow.value())
 	}
-	return failing, "failing"
+	return math.Log(t.failing.value())
 }
