--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/evidence"
@@ -168,7 +169,10 @@
 	case late:
 		return j.atDeadline(d, m, deadline)
 	case found == verdictUnclear:
-		d.Reason = reason
+		// Each reason told is a revision, so it is told once.
+		if !strings.HasPrefix(m.Reason, waits) {
+			d.Reason = reason
+		}
 		return d
 	default:
 		return j.climb(now, d, m, slots, deadline, reason)
@@ -228,7 +232,7 @@
 	case len(j.without) < 2 || left >= alonePart*strongest:
 		return verdictBad, j.describe(route, what)
 	case strongest < clearFactor*bound:
-		return verdictUnclear, "waits for more evidence: " + j.describe(route, what) + ", most of it on host " + host
+		return verdictUnclear, waits + " for more evidence: route " + route + " is " + string(what) + ", mostly on host " + host
 	default:
 		return verdictOneHost, "only host " + host + " of the new version is " + string(what)
 	}
@@ -397,6 +401,9 @@
 	return found == verdictBad, reason
 }
 
+// waits begins the reason of a move whose evidence is unclear.
+const waits = "waits"
+
 // brakeMore is how much stronger the evidence of one daemon must be, as a
 // logarithm.
 const brakeMore = 4.6
--- /dev/null
+++ b/internal/move/decide_test.go
@@ -0,0 +1,115 @@
+package move_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/endivewalk/endivewalk/internal/evidence"
+	"github.com/endivewalk/endivewalk/internal/move"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+var start = time.Unix(7000, 0)
+
+func running(share int) config.Move {
+	return config.Move{Service: "s", From: "v1", To: "v2", Start: start, By: start.Add(10 * time.Minute), Share: share, State: config.MoveRunning}
+}
+
+func row(version, route, host string, calls, failed int64) evidence.Row {
+	r := evidence.Row{
+		Key:   evidence.Key{Service: "s", Move: start.UnixMilli(), Version: version, Route: route, Host: host},
+		Calls: calls, Failed: failed,
+	}
+	r.Latency[evidence.BucketOf(5*time.Millisecond)] = calls - failed
+	return r
+}
+
+var slots = [2]int{9, 9}
+
+func TestDeadlineFollowsThePolicy(t *testing.T) {
+	late := start.Add(10 * time.Minute)
+	for _, test := range []struct {
+		deadline string
+		share    int
+		want     config.MoveState
+	}{
+		{config.DeadlineFinish, 5, config.MoveDone},
+		{config.DeadlineTakeBack, 5, config.MoveTakenBack},
+		{config.DeadlineFinish, 900, config.MoveDone},
+		{config.DeadlineTakeBack, 900, config.MoveDone},
+	} {
+		d := move.NewJudge(move.Policy{}).Decide(late, running(test.share), slots, test.deadline)
+		require.Equal(t, test.want, d.State, "%v", test)
+		require.NotEmpty(t, d.Reason)
+	}
+}
+
+func TestBadOnOneRouteIsNotDiluted(t *testing.T) {
+	j := move.NewJudge(move.Policy{})
+	// One interval alone is not believed, so the calls come in four.
+	for i := int64(1); i <= 4; i++ {
+		j.Observe(start.Add(time.Duration(i)*time.Second), running(10), []evidence.Row{
+			row("v1", "big", "a", 25000*i, 25*i), row("v2", "big", "b", 250*i, 0),
+			row("v1", "small", "a", 250*i, 0), row("v2", "small", "b", 3*i, 2*i),
+		})
+	}
+	d := j.Decide(start.Add(4*time.Second), running(10), slots, config.DeadlineFinish)
+	require.Equal(t, config.MoveTakenBack, d.State)
+	require.Contains(t, d.Reason, "route small is failing: 8 of 12")
+	require.Zero(t, d.Share)
+}
+
+func TestSharedFailureSpeaksAgainstNeither(t *testing.T) {
+	j := move.NewJudge(move.Policy{})
+	j.Observe(start.Add(time.Second), running(10), []evidence.Row{row("v1", "r", "a", 10000, 5000), row("v2", "r", "b", 100, 52)})
+	require.Equal(t, config.MoveRunning, j.Decide(start.Add(time.Second), running(10), slots, config.DeadlineFinish).State)
+}
+
+// Evidence of an earlier move of the same service says nothing.
+func TestEarlierMoveIsPassedOver(t *testing.T) {
+	j := move.NewJudge(move.Policy{})
+	old := row("v2", "r", "b", 100, 100)
+	old.Move--
+	j.Observe(start.Add(time.Second), running(10), []evidence.Row{row("v1", "r", "a", 10000, 0), old})
+	require.Equal(t, config.MoveRunning, j.Decide(start.Add(time.Second), running(10), slots, config.DeadlineFinish).State)
+}
+
+// A daemon that starts anew counts from zero; sums that fall say nothing.
+func TestFallingSumsSayNothing(t *testing.T) {
+	j := move.NewJudge(move.Policy{})
+	now := start
+	for _, calls := range []int64{1000, 10, 2000} {
+		now = now.Add(time.Second)
+		j.Observe(now, running(500), []evidence.Row{row("v1", "r", "a", calls, calls/100), row("v2", "r", "b", calls, calls/100)})
+	}
+	require.Equal(t, config.MoveRunning, j.Decide(now, running(500), slots, config.DeadlineFinish).State)
+}
+
+func TestNoUpstreamLeft(t *testing.T) {
+	d := move.NewJudge(move.Policy{}).Decide(start.Add(time.Second), running(10), [2]int{9, 0}, config.DeadlineFinish)
+	require.Equal(t, config.MoveTakenBack, d.State)
+	d = move.NewJudge(move.Policy{}).Decide(start.Add(time.Second), running(0), [2]int{9, 0}, config.DeadlineFinish)
+	require.Equal(t, config.MoveRunning, d.State, "the new version has not been started yet")
+	require.Zero(t, d.Share)
+}
+
+// One daemon alone needs stronger evidence than the source.
+func TestBrakeNeedsMore(t *testing.T) {
+	j := move.NewJudge(move.Policy{})
+	seen := map[bool]int{}
+	for i := int64(1); i < 12; i++ {
+		now := start.Add(time.Duration(i) * time.Second)
+		j.Observe(now, running(100), []evidence.Row{row("v1", "r", "a", 90*i, 0), row("v2", "r", "b", 10*i, i)})
+		bad, _ := j.Bad()
+		if j.Decide(now, running(100), slots, config.DeadlineFinish).State == config.MoveTakenBack && seen[false] == 0 {
+			seen[false] = int(i)
+		}
+		if bad && seen[true] == 0 {
+			seen[true] = int(i)
+		}
+	}
+	require.NotZero(t, seen[false])
+	require.Greater(t, seen[true], seen[false])
+}
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -127,6 +127,7 @@
 type trial struct {
 	last    [2]counts // Old and new, at the last look.
 	total   [2]counts
+	waiting [2]counts // Since the last bet on failing.
 	block   [2]counts // Since the last bet on slowness.
 	blockAt time.Time
 	failing wealth
@@ -145,10 +146,16 @@
 			step[i] = counts{}
 		}
 		t.total[i].merge(step[i])
+		t.waiting[i].merge(step[i])
 		t.block[i].merge(step[i])
 	}
 	t.last = sums
-	t.failing.bet(step[1].calls, step[1].failed, step[0].calls, step[0].failed, failingMost)
+	// With little traffic an interval may hold calls of one version only. They
+	// wait for the other's, or their evidence would be lost.
+	if w := t.waiting; w[0].calls > 0 && w[1].calls > 0 {
+		t.failing.bet(w[1].calls, w[1].failed, w[0].calls, w[0].failed, failingMost)
+		t.waiting = [2]counts{}
+	}
 	if now.Sub(t.blockAt) >= blockLeast {
 		t.endBlock(now)
 	}
@@ -157,9 +164,12 @@
 // endBlock bets on the slow answers of the block. The bound between slow and
 // ordinary ones is set by what came before it, so that the bets stay fair.
 func (t *trial) endBlock(now time.Time) {
+	newAnswered, newSlow := t.block[1].over(t.gate)
+	oldAnswered, oldSlow := t.block[0].over(t.gate)
 	if t.gate >= 0 {
-		newAnswered, newSlow := t.block[1].over(t.gate)
-		oldAnswered, oldSlow := t.block[0].over(t.gate)
+		if newAnswered == 0 || oldAnswered == 0 {
+			return // The block goes on until both versions have answered.
+		}
 		t.slow.bet(newAnswered, newSlow, oldAnswered, oldSlow, slowMost)
 	}
 	t.block = [2]counts{}
