--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -113,3 +113,21 @@
 	require.NotZero(t, seen[false])
 	require.Greater(t, seen[true], seen[false])
 }
+
+// With little traffic most intervals hold calls of one version only. Their
+// evidence waits for the other's.
+func TestLittleTrafficCounts(t *testing.T) {
+	j := move.NewJudge(move.Policy{})
+	now := start
+	var old, fresh int64
+	for i := range 40 {
+		now = now.Add(time.Second)
+		if i%2 == 0 {
+			old++
+		} else {
+			fresh++
+		}
+		j.Observe(now, running(500), []evidence.Row{row("v1", "r", "a", old, 0), row("v2", "r", "b", fresh, fresh)})
+	}
+	require.Equal(t, config.MoveTakenBack, j.Decide(now, running(500), slots, config.DeadlineFinish).State)
+}
