A frozen parent no longer delays a change

Ruled out: a shorter time-out of pulls; it would cost every daemon control bytes all the time, and a whole round for each level of the tree.

Change: each daemon also listens to a second parent, which tells only that there is a newer revision. If the parent does not bring it within 150 ms, the revision is pulled from the second one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -136,7 +136,7 @@
 // startDuties starts one goroutine for each duty.
 func (d *Daemon) startDuties() {
 	for _, duty := range []func(){
-		d.server.Serve, d.child.RunFloor, d.child.RunPull, d.child.RunReport,
+		d.server.Serve, d.child.RunFloor, d.child.RunPull, d.child.RunSecond, d.child.RunReport,
 		d.runHousekeeping, d.runWatch, d.runBrakes,
 	} {
 		d.duties.Add(1)
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -40,6 +40,17 @@
 	Busy     time.Duration    // If positive: ask for a whole state again after this.
 }
 
+// NoticeArgs asks a second parent to tell as soon as it has a newer revision
+// than Have, or after Wait that it has none.
+type NoticeArgs struct {
+	Host string
+	Have config.Revision
+	Wait time.Duration
+}
+
+// NoticeReply names the second parent's revision.
+type NoticeReply struct{ Revision config.Revision }
+
 // ReportArgs tells a parent about a child and the daemons below it.
 type ReportArgs struct {
 	Host    string
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -43,13 +43,14 @@
 type Child struct {
 	config  ChildConfig
 	hub     *Hub
+	taking  sync.Mutex // Held while a delta is put in force.
 	builder expand.Builder
+	whole   bool // The next pull asks for a whole state.
 	mutex   sync.Mutex
 	clients map[string]*peer.Client
 	parent  string // The address of the present parent.
 	since   Cursor // Where the hub was when it became the parent.
 	choice  parentChoice
-	whole   bool // The next pull asks for a whole state.
 
 	instance uint64 // Of the parent, with the index known of it.
 	index    uint64
@@ -184,7 +185,7 @@
 		Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest(),
 		Instance: c.instance, Index: c.index, Records: c.hub.RecordsDigest(), Wait: pullWait,
 	}
-	if c.whole {
+	if c.wantsWhole() {
 		args.Have = 0
 	}
 	if c.instance == 0 {
@@ -234,8 +235,19 @@
 	return err
 }
 
+func (c *Child) wantsWhole() bool {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	return c.whole
+}
+
 // take puts a delta in force, all of it or nothing.
 func (c *Child) take(d catalog.Delta) bool {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	if d.To <= c.hub.State().Revision() {
+		return true // The other parent was faster.
+	}
 	next, err := c.hub.State().Catalog().Apply(d)
 	if err != nil {
 		c.whole = !d.Whole
--- /dev/null
+++ b/internal/feed/second.go
@@ -0,0 +1,77 @@
+package feed
+
+import (
+	"time"
+)
+
+const (
+	noticeWait    = 2 * time.Second
+	noticeTimeout = 3 * time.Second
+	// noticeGrace is how long the parent may take to bring a revision that the
+	// second parent has told of.
+	noticeGrace = 150 * time.Millisecond
+	secondPause = 500 * time.Millisecond
+)
+
+// RunSecond listens to a second parent. It tells only that there is a newer
+// revision; if the parent does not bring it soon, as when it is frozen but not
+// dead, the revision is pulled from the second one.
+func (c *Child) RunSecond() {
+	for {
+		address := c.secondParent()
+		if address == "" || !c.listenTo(address) {
+			if !c.pause(secondPause) {
+				return
+			}
+			continue
+		}
+		select {
+		case <-c.stop:
+			return
+		default:
+		}
+	}
+}
+
+// secondParent returns the best candidate that is not the parent.
+func (c *Child) secondParent() string {
+	parent := c.Parent()
+	for _, address := range c.candidates() {
+		if address != parent {
+			return address
+		}
+	}
+	return ""
+}
+
+// listenTo waits for one notice and acts on it.
+func (c *Child) listenTo(address string) bool {
+	have := c.hub.State().Revision()
+	var reply NoticeReply
+	args := NoticeArgs{Host: c.config.Host, Have: have, Wait: noticeWait}
+	if c.client(address).Call("Feed.Notice", args, &reply, noticeTimeout) != nil {
+		return false
+	}
+	if reply.Revision <= have {
+		return true
+	}
+	if !c.pause(noticeGrace) {
+		return false
+	}
+	if c.hub.State().Revision() < reply.Revision {
+		c.hub.config.Counters.Add("feed_second_pulls", 1)
+		return c.pullSecond(address)
+	}
+	return true
+}
+
+// pullSecond pulls configuration alone.
+func (c *Child) pullSecond(address string) bool {
+	state := c.hub.State()
+	args := PullArgs{Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest()}
+	var reply PullReply
+	if c.client(address).Call("Feed.Pull", args, &reply, pullTimeout) != nil {
+		return false
+	}
+	return reply.Delta != nil && c.take(*reply.Delta)
+}
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -60,6 +60,28 @@
 	}
 }
 
+// Notice waits for a revision newer than the child has.
+func (s *Service) Notice(args NoticeArgs, reply *NoticeReply) error {
+	if !config.ValidName(args.Host) || args.Wait < 0 {
+		s.hub.config.Counters.Add("feed_bad_messages", 1)
+		return ErrBadMessage
+	}
+	deadline := time.NewTimer(min(args.Wait, maxWait))
+	defer deadline.Stop()
+	for {
+		wake := s.hub.Wake()
+		reply.Revision = s.hub.State().Revision()
+		if reply.Revision > args.Have {
+			return nil
+		}
+		select {
+		case <-wake:
+		case <-deadline.C:
+			return nil
+		}
+	}
+}
+
 // answer returns what is newer than the child has at this moment.
 func (h *Hub) answer(now time.Time, args PullArgs) PullReply {
 	h.mutex.Lock()
--- a/internal/processtest/processes.go
+++ b/internal/processtest/processes.go
@@ -55,12 +55,13 @@
 	daemons map[string]*Process
 	local   map[string]string
 	caller  map[string]string
+	peer    map[string]string
 	others  []*Process
 }
 
 // New prepares a group of three source replicas and starts them.
 func New(t testing.TB, program string) *Group {
-	g := &Group{t: t, program: program, folder: t.TempDir(), daemons: map[string]*Process{}, local: map[string]string{}, caller: map[string]string{}}
+	g := &Group{t: t, program: program, folder: t.TempDir(), daemons: map[string]*Process{}, local: map[string]string{}, caller: map[string]string{}, peer: map[string]string{}}
 	addresses, err := fleet.FreeAddresses(6)
 	require.NoError(t, err)
 	g.peers, g.ops = addresses[:3], addresses[3:]
@@ -153,7 +154,7 @@
 			"sources": g.peers, "linger": "500ms",
 		})
 		p = &Process{Name: name, args: []string{"daemon", "--settings", path}}
-		g.daemons[name], g.local[name], g.caller[name] = p, a[3], a[0]
+		g.daemons[name], g.local[name], g.caller[name], g.peer[name] = p, a[3], a[0], a[2]
 	}
 	g.start(p)
 	return p
@@ -216,6 +217,34 @@
 	return s, json.NewDecoder(r.Body).Decode(&s)
 }
 
+// DaemonAt returns the daemon with that control address, or "".
+func (g *Group) DaemonAt(peer string) string {
+	for name, address := range g.peer {
+		if address == peer {
+			return name
+		}
+	}
+	return ""
+}
+
+// Counter returns a daemon's counter, or 0.
+func (g *Group) Counter(daemon, counter string) int {
+	client := http.Client{Timeout: time.Second}
+	r, err := client.Get("http://" + g.local[daemon] + "/debug/vars")
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	var vars struct {
+		Endivewalk map[string]any `json:"endivewalk"`
+	}
+	if json.NewDecoder(r.Body).Decode(&vars) != nil {
+		return 0
+	}
+	n, _ := vars.Endivewalk[counter].(float64)
+	return int(n)
+}
+
 // Eventually polls until done returns true, and fails the test after a
 // generous time-out.
 func (g *Group) Eventually(timeout time.Duration, what string, done func() bool) {
