--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -54,28 +54,30 @@
 	return w, ok
 }
 
-// Answer returns the remembered answer to a request.
-func (s *State) Answer(request string) (Outcome, bool) {
-	a, ok := s.answers[request]
-	return a.Outcome, ok
-}
-
 // Apply decides a command and returns its outcome.
 func (s *State) Apply(c Command) Outcome {
-	print := c.fingerprint()
-	if a, ok := s.answers[c.Request]; ok {
-		if a.Fingerprint != print {
-			return s.refuse(c, "request %q was already used for another change", c.Request)
-		}
-		out := a.Outcome
-		out.Resent = true
+	if out, ok := s.Again(c); ok {
 		return out
 	}
 	out := s.decide(c)
-	s.remember(c.Request, answered{Fingerprint: print, Outcome: out})
+	s.remember(c.Request, answered{Fingerprint: c.fingerprint(), Outcome: out})
 	return out
 }
 
+// Again returns the answer to a command whose request has been decided before.
+func (s *State) Again(c Command) (Outcome, bool) {
+	a, ok := s.answers[c.Request]
+	if !ok {
+		return Outcome{}, false
+	}
+	if a.Fingerprint != c.fingerprint() {
+		return s.refuse(c, "request %q was already used for another change", c.Request), true
+	}
+	out := a.Outcome
+	out.Resent = true
+	return out, true
+}
+
 func (s *State) decide(c Command) Outcome {
 	if c.Request == "" || c.Operator == "" {
 		return s.refuse(c, "a change needs a request id and an operator")
--- a/internal/source/agree.go
+++ b/internal/source/agree.go
@@ -150,8 +150,7 @@
 		return
 	}
 	if !a.hasRoom(now) {
-		a.node.config.Counters.Add("changes_refused_disk_full", 1)
-		p.done <- proposeResult{err: ErrDiskFull}
+		p.done <- a.refuseFull(p.command)
 		return
 	}
 	p.command.At = now.UTC().Round(0)
@@ -168,6 +167,20 @@
 	a.waiting[index] = waiter{term: term, done: p.done}
 }
 
+// refuseFull answers a command that there is no room for. One that has been
+// decided already gets its answer; while others are on their way, it may be
+// among them.
+func (a *agreement) refuseFull(c ledger.Command) proposeResult {
+	if out, ok := a.state.Again(c); ok {
+		return proposeResult{outcome: out}
+	}
+	if len(a.waiting) > 0 {
+		return proposeResult{err: ErrUnknown}
+	}
+	a.node.config.Counters.Add("changes_refused_disk_full", 1)
+	return proposeResult{err: ErrDiskFull}
+}
+
 // hasRoom asks the file system at most once in fullPause.
 func (a *agreement) hasRoom(now time.Time) bool {
 	if now.Sub(a.roomAt) < fullPause {
--- a/internal/source/status.go
+++ b/internal/source/status.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/feed"
-	"github.com/endivewalk/endivewalk/internal/ledger"
 	"github.com/endivewalk/endivewalk/internal/quorum"
 	"github.com/endivewalk/endivewalk/pkg/config"
 	"github.com/endivewalk/endivewalk/pkg/operator"
@@ -118,11 +117,3 @@
 		timer.Stop()
 	}
 }
-
-// Answer returns the remembered answer to a request.
-func (n *Node) Answer(request string) (ledger.Outcome, bool) {
-	var out ledger.Outcome
-	found := false
-	n.look(func(a *agreement) { out, found = a.state.Answer(request) })
-	return out, found
-}
