--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,7 +38,6 @@
 	caller    *http.Server
 	gateHTTP  *http.Server
 	local     *http.Server
-	listeners []net.Listener
 	addresses Addresses
 
 	record   recordKeeper
@@ -126,7 +125,6 @@
 		return nil, errs.New("daemon: %v", err)
 	}
 	*bound = l.Addr().String()
-	d.listeners = append(d.listeners, l)
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: countedLog(d.config.Counters),
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -4,12 +4,10 @@
 	"context"
 	"log"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/event"
-	"github.com/endivewalk/endivewalk/internal/listen"
 )
 
 const leavePoll = 20 * time.Millisecond
@@ -25,7 +23,6 @@
 	d.caller.SetKeepAlivesEnabled(false)
 	d.gateHTTP.SetKeepAlivesEnabled(false)
 	d.pause(d.config.Linger)
-	d.quiet()
 	err := d.caller.Shutdown(ctx)
 	if gateErr := d.gateHTTP.Shutdown(ctx); err == nil {
 		err = gateErr
@@ -40,21 +37,6 @@
 	return err
 }
 
-// quiet lets no new connections in, and accepts those that wait.
-func (d *Daemon) quiet() {
-	var group sync.WaitGroup
-	for _, l := range d.listeners {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			if err := listen.Quiet(l); err != nil {
-				d.config.Counters.Add("listeners_not_quiet", 1)
-			}
-		}()
-	}
-	group.Wait()
-}
-
 // Stop ends the daemon at once.
 func (d *Daemon) Stop() {
 	d.stopOnce.Do(func() {
