Moves: no evidence never raises the share; moves are read confirmed

Cause: evidence is told once a second now (2.2 KB/s for a moving service at today's size instead of over 20). The demo then went to 90 % after 0.2 s: with no evidence yet the traffic was taken to be tiny, and the first share to be the last of the ladder. The demo also took an empty answer of a lagging replica for the end of a move.

Ruled out: going back to ten reports a second; a service without any traffic would still have jumped.

Change: without evidence nothing is known of the traffic; a move begins with 20 % at most and after 5 s; one host is blamed only after 30 calls of the others; 'moves' is a confirmed read. Probe connections are bounded. The demo has a daemon leave instead of crashing it: calls in hand at a crashed daemon are rightly unknown, and the demo counted them as errors (1 of 36,650). It now names the first error.

--- a/internal/daemon/brake.go
+++ b/internal/daemon/brake.go
@@ -9,7 +9,12 @@
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
-const brakePause = 100 * time.Millisecond
+const (
+	brakePause = 100 * time.Millisecond
+	// tellEvery is how many judgements of its own a daemon makes for each
+	// report of its evidence, which keeps control bytes within bounds.
+	tellEvery = 10
+)
 
 // brakes holds the moves whose new version this daemon has stopped calling. A
 // brake only lowers a share, needs no word from the source, and lasts until
@@ -44,7 +49,7 @@
 // runBrakes reports this daemon's evidence and judges it.
 func (d *Daemon) runBrakes() {
 	judges := map[string]ownJudge{}
-	for d.pause(brakePause) {
+	for round := 0; d.pause(brakePause); round++ {
 		running := d.runningMoves()
 		d.evidence.Keep(func(service string) bool { _, ok := running[service]; return ok })
 		d.hub.KeepEvidence(func(service string) bool { _, ok := running[service]; return ok })
@@ -53,7 +58,9 @@
 			continue
 		}
 		report := d.evidence.Report()
-		d.hub.MergeEvidence("", report)
+		if round%tellEvery == 0 {
+			d.hub.MergeEvidence("", report)
+		}
 		for service, m := range running {
 			j, ok := judges[service]
 			if !ok || !j.start.Equal(m.Start) {
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -13,6 +13,9 @@
 	watchPause   = time.Second
 	probeTimeout = 500 * time.Millisecond
 	helperCount  = 3
+	// probeConnections bounds the connections kept for probing. Which of them
+	// is closed for a new one does not matter.
+	probeConnections = 32
 	// awayPart is how often a daemon of another data centre is probed, so that
 	// a data centre whose daemons are all gone is noticed too.
 	awayPart = 0.2
@@ -29,6 +32,13 @@
 	defer d.watch.mutex.Unlock()
 	c := d.watch.clients[address]
 	if c == nil {
+		for other, old := range d.watch.clients {
+			if len(d.watch.clients) < probeConnections {
+				break
+			}
+			old.Close()
+			delete(d.watch.clients, other)
+		}
 		c = peer.NewClient(address, d.config.Dial, &d.traffic)
 		d.watch.clients[address] = c
 	}
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -32,6 +32,7 @@
 	answers   atomic.Int64
 	failures  atomic.Int64
 	faults    atomic.Int64
+	first     atomic.Pointer[string] // What was wrong with the first failure.
 	quit      chan struct{}
 	once      sync.Once
 	group     sync.WaitGroup
@@ -121,13 +122,13 @@
 	request.Header.Set(standin.CallID, id)
 	response, err := c.client.Do(request)
 	if err != nil {
-		c.failures.Add(1)
+		c.fail("%s %s: %v", k.method, k.path, err)
 		return
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		c.failures.Add(1)
+		c.fail("%s %s: %v", k.method, k.path, err)
 		return
 	}
 	if response.StatusCode == http.StatusInternalServerError && response.Header.Get(call.HeaderRun) == string(call.RunRan) {
@@ -137,8 +138,16 @@
 	}
 	var answer struct{ ID, Service, Path string }
 	if json.Unmarshal(data, &answer) != nil || answer.ID != id || answer.Service != k.service || answer.Path != k.path {
-		c.failures.Add(1)
+		c.fail("%s %s: status %d, run %s, reason %s", k.method, k.path, response.StatusCode,
+			response.Header.Get(call.HeaderRun), response.Header.Get(call.HeaderReason))
 		return
 	}
 	c.answers.Add(1)
 }
+
+// fail counts a call without its whole answer, and remembers the first.
+func (c *callers) fail(format string, args ...any) {
+	c.failures.Add(1)
+	what := fmt.Sprintf(format, args...)
+	c.first.CompareAndSwap(nil, &what)
+}
--- a/internal/demo/move.go
+++ b/internal/demo/move.go
@@ -97,13 +97,15 @@
 	d.check("the version taken back gets no calls", runs() == before, "%d runs before and after half a second", before)
 }
 
-// restart stops a daemon without warning and starts it again.
+// restart has a daemon leave while calls go on, and starts it again.
 func (d *demo) restart() error {
 	const host = "booking-2"
 	before := d.fleet.Daemon(host).Hub().State().Revision()
 	d.callers.avoid(host)
-	d.fleet.StopDaemon(host)
-	d.say("stopped the daemon %s, which had revision %d", host, before)
+	if err := d.fleet.LeaveDaemon(d.ctx, host); err != nil {
+		return err
+	}
+	d.say("the daemon %s, which had revision %d, has left", host, before)
 	start := time.Now()
 	again, err := d.fleet.StartDaemon(host, zones[1])
 	if err != nil {
@@ -127,8 +129,12 @@
 	d.callers.stop()
 	s := &d.summary
 	s.Calls, s.Answers, s.Errors, s.FaultAnswers = d.callers.totals()
+	first := ""
+	if what := d.callers.first.Load(); what != nil {
+		first = "; first error: " + *what
+	}
 	d.check("every call got the whole answer to its own request", s.Errors == 0 && s.Answers == s.Calls,
-		"%d calls, %d answers, of them %d failures of the bad version", s.Calls, s.Answers, s.FaultAnswers)
+		"%d calls, %d answers, of them %d failures of the bad version%s", s.Calls, s.Answers, s.FaultAnswers, first)
 	d.check("no booking ran twice", d.twice() == 0, "%d ran twice", d.twice())
 	if moves, err := d.client.Moves(d.ctx); err == nil {
 		s.Moves = moves
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -276,6 +276,18 @@
 	}
 }
 
+// LeaveDaemon takes a daemon out without cutting off a call.
+func (f *Fleet) LeaveDaemon(ctx context.Context, host string) error {
+	f.mutex.Lock()
+	d := f.daemons[host]
+	delete(f.daemons, host)
+	f.mutex.Unlock()
+	if d == nil {
+		return errs.New("fleet: no daemon %q runs", host)
+	}
+	return d.Leave(ctx)
+}
+
 // StartStandin starts a stand-in beside a daemon.
 func (f *Fleet) StartStandin(host string, c standin.Config) (*standin.Standin, error) {
 	c.Address = "127.0.0.1:0"
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -217,6 +217,8 @@
 	alonePart = 0.5
 	// clearFactor is how many times the bound it takes to blame one host.
 	clearFactor = 2
+	// othersProof is how many calls the other hosts must have taken for that.
+	othersProof = 30
 )
 
 // judge weighs the routes. Were the version bad, most of the evidence would be
@@ -231,7 +233,7 @@
 	switch {
 	case len(j.without) < 2 || left >= alonePart*strongest:
 		return verdictBad, j.describe(route, what)
-	case strongest < clearFactor*bound:
+	case strongest < clearFactor*bound || j.callsWithout(host, route) < othersProof:
 		return verdictUnclear, waits + " for more evidence: route " + route + " is " + string(what) + ", mostly on host " + host
 	default:
 		return verdictOneHost, "only host " + host + " of the new version is " + string(what)
@@ -268,6 +270,12 @@
 	return host, left
 }
 
+// callsWithout returns the calls of the new version on a route that went to
+// other hosts.
+func (j *Judge) callsWithout(host, route string) int64 {
+	return j.without[host][route].total[newSide].calls
+}
+
 func (j *Judge) describe(route string, what kind) string {
 	t := j.routes[route]
 	if what == kindFailing {
@@ -354,6 +362,7 @@
 		p.proof = min(p.proof, max(proofLeast, int64(expected*proofPart)))
 		inStep := expected * j.policy.Ramp / float64(len(p.ladder))
 		least := int(math.Ceil(float64(p.proof) * provable / max(inStep, 1) * config.FullShare))
+		least = min(least, firstMost)
 		first := slices.IndexFunc(p.ladder, func(share int) bool { return share >= least })
 		if first < 0 {
 			first = len(p.ladder) - 1
@@ -370,22 +379,29 @@
 // provable is how many times its proof a step's share should bring.
 const provable = 1.3
 
-// rateKnownAfter is the part of the time after which the traffic is known well
-// enough to plan by.
-const rateKnownAfter = 0.02
+const (
+	// firstMost is the largest share that a move may begin with, in
+	// thousandths, however little traffic there is.
+	firstMost = 200
+	// rateKnownAfter is the part of the time, and rateKnownLeast the time,
+	// after which the traffic is known well enough to plan by.
+	rateKnownAfter = 0.02
+	rateKnownLeast = 5 * time.Second
+)
 
 // expectedCalls returns how many calls a service is likely to get during the
 // whole move.
 func (j *Judge) expectedCalls(now time.Time, m config.Move) (float64, bool) {
 	passed := now.Sub(m.Start)
-	if now.Before(at(m, rateKnownAfter)) {
+	if now.Before(at(m, rateKnownAfter)) || passed < rateKnownLeast {
 		return 0, false
 	}
 	calls := int64(0)
 	for _, t := range j.routes {
 		calls += t.total[oldSide].calls + t.total[newSide].calls
 	}
-	return float64(calls) / passed.Seconds() * m.By.Sub(m.Start).Seconds(), true
+	// Without any evidence nothing is known of the traffic.
+	return float64(calls) / passed.Seconds() * m.By.Sub(m.Start).Seconds(), calls > 0
 }
 
 // at returns the moment at which a part of a move's time has passed.
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -131,3 +131,27 @@
 	}
 	require.Equal(t, config.MoveTakenBack, j.Decide(now, running(500), slots, config.DeadlineFinish).State)
 }
+
+// While no evidence comes, the share follows the ladder and its times alone.
+func TestNoEvidenceDoesNotRaiseTheShare(t *testing.T) {
+	j := move.NewJudge(move.Policy{})
+	m := running(0)
+	for passed := time.Duration(0); passed < time.Minute; passed += time.Second {
+		now := start.Add(passed)
+		j.Observe(now, m, nil)
+		m.Share = j.Decide(now, m, slots, config.DeadlineFinish).Share
+		require.LessOrEqual(t, m.Share, 5, "after %v", passed)
+	}
+}
+
+// However little traffic there is, a move does not begin with a large share.
+func TestLittleTrafficBeginsSmall(t *testing.T) {
+	j := move.NewJudge(move.Policy{})
+	m := running(0)
+	for passed := time.Duration(0); passed < time.Minute; passed += time.Second {
+		now := start.Add(passed)
+		j.Observe(now, m, []evidence.Row{row("v1", "r", "a", 1, 0)})
+		m.Share = j.Decide(now, m, slots, config.DeadlineFinish).Share
+		require.LessOrEqual(t, m.Share, 200, "after %v", passed)
+	}
+}
--- a/internal/operatorhttp/api.go
+++ b/internal/operatorhttp/api.go
@@ -172,6 +172,10 @@
 }
 
 func (a *api) moves(ctx iris.Context) {
+	if err := a.Node.Confirm(); err != nil {
+		httpapi.Fail(ctx, http.StatusServiceUnavailable, err)
+		return
+	}
 	all := []operator.Move{}
 	for _, m := range a.Node.Moves() {
 		all = append(all, operator.Move{Move: m.Move, Revision: m.Revision})
--- a/internal/processtest/processes.go
+++ b/internal/processtest/processes.go
@@ -114,6 +114,9 @@
 	go func() { p.ended <- command.Wait() }()
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) { p.command.Process.Signal(s) }
 
--- a/internal/source/status.go
+++ b/internal/source/status.go
@@ -70,15 +70,24 @@
 // Configuration returns the objects in force and who wrote them, at a revision
 // that a quorum has confirmed.
 func (n *Node) Configuration() (operator.Configuration, error) {
+	if err := n.Confirm(); err != nil {
+		return operator.Configuration{}, err
+	}
+	return n.configurationHere(), nil
+}
+
+// Confirm waits until this replica has applied everything that had been
+// accepted before the call.
+func (n *Node) Confirm() error {
 	newest, err := n.Latest()
 	if err != nil {
-		return operator.Configuration{}, err
+		return err
 	}
 	// The leader has confirmed the revision; this replica may still lag.
 	if !n.WaitRevision(newest, n.config.Clock().Add(readTimeout)) {
-		return operator.Configuration{}, feed.ErrUnconfirmed
+		return feed.ErrUnconfirmed
 	}
-	return n.configurationHere(), nil
+	return nil
 }
 
 func (n *Node) configurationHere() operator.Configuration {
