Tests use loopback addresses of their own

Ruled out: trying again when a port is taken; a daemon that restarts needs the port that it had.

Change: each fleet of each test process listens on an IP number of its own in 127.0.0.0/8; the history goes on until it has more than 200 operations.

Conclusion: the verdict no longer depends on other tests' ports or on speed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -58,6 +61,7 @@
 // unless they name the same process.
 type Fleet struct {
 	config   Config
+	ip       string
 	mutex    sync.Mutex
 	random   *rand.Rand
 	replicas []*Replica
@@ -77,7 +81,7 @@
 		c.Linger = 300 * time.Millisecond
 	}
 	f := &Fleet{
-		config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed)),
+		config: c, ip: FreeIP(), random: rand.New(rand.NewPCG(c.Seed, c.Seed)),
 		daemons: map[string]*daemon.Daemon{}, standins: map[string]*standin.Standin{},
 	}
 	members, operators, err := f.allocate()
@@ -104,7 +108,7 @@
 	var members []source.Member
 	var operators []string
 	for i := range f.config.Replicas {
-		addresses, err := FreeAddresses(2)
+		addresses, err := FreeAddresses(f.ip, 2)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -114,12 +118,23 @@
 	return members, operators, nil
 }
 
-// FreeAddresses returns loopback addresses that nothing listens on.
-func FreeAddresses(count int) ([]string, error) {
+// groups counts the loopback addresses given out by this process.
+var groups atomic.Int64
+
+// FreeIP returns a loopback address of 127.0.0.0/8 that no other fleet of this
+// or another running process is likely to use, so that ports never clash.
+func FreeIP() string {
+	const groupsOfProcess = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>8)%128, pid%256, 1+groups.Add(1)%groupsOfProcess)
+}
+
+// FreeAddresses returns addresses at an IP number that nothing listens on.
+func FreeAddresses(ip string, count int) ([]string, error) {
 	var listeners []net.Listener
 	var addresses []string
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, errs.New("fleet: %v", err)
 		}
@@ -232,7 +247,7 @@
 
 // StartDaemon starts a daemon in a data centre, on any free ports.
 func (f *Fleet) StartDaemon(host, zone string) (*daemon.Daemon, error) {
-	any := "127.0.0.1:0"
+	any := f.ip + ":0"
 	d, err := daemon.Start(daemon.Config{
 		Host: host, Zone: zone, Sources: f.sourceAddresses(), Shape: f.config.Shape,
 		Listen: daemon.Addresses{Caller: any, Gate: any, Peer: any, Local: any},
@@ -290,7 +305,7 @@
 
 // StartStandin starts a stand-in beside a daemon.
 func (f *Fleet) StartStandin(host string, c standin.Config) (*standin.Standin, error) {
-	c.Address = "127.0.0.1:0"
+	c.Address = f.ip + ":0"
 	c.Daemon = f.Daemon(host).Addresses().Local
 	if c.Draw == nil {
 		c.Draw = f.draw()
--- a/internal/processtest/linear_test.go
+++ b/internal/processtest/linear_test.go
@@ -88,10 +88,9 @@
 				time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
 				g.StartSource(victim)
 			}
-			time.Sleep(300 * time.Millisecond)
+			g.Eventually(time.Minute, "enough operations", func() bool { return h.count() > 200 })
 			close(stop)
 			group.Wait()
-			require.Greater(t, len(h.operations), 100)
 			result := porcupine.CheckOperationsTimeout(model, h.withFirst(t, g), time.Minute)
 			require.Equal(t, porcupine.Ok, result, "seed %d, %d operations", seed, len(h.operations))
 			t.Logf("seed %d: %d operations are linearizable", seed, len(h.operations))
@@ -105,6 +104,12 @@
 	operations []porcupine.Operation
 }
 
+func (h *history) count() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.operations)
+}
+
 // withFirst puts the write that the model begins with first.
 func (h *history) withFirst(t *testing.T, g *processtest.Group) []porcupine.Operation {
 	first := apply(t, g, g.Client(), operator.Change{Request: "start", Put: []config.Object{contract(t, "clubs", 1)}})
--- a/internal/processtest/processes.go
+++ b/internal/processtest/processes.go
@@ -49,6 +49,7 @@
 	t       testing.TB
 	program string
 	folder  string
+	ip      string
 	sources []*Process
 	peers   []string
 	ops     []string
@@ -61,8 +62,8 @@
 
 // New prepares a group of three source replicas and starts them.
 func New(t testing.TB, program string) *Group {
-	g := &Group{t: t, program: program, folder: t.TempDir(), daemons: map[string]*Process{}, local: map[string]string{}, caller: map[string]string{}, peer: map[string]string{}}
-	addresses, err := fleet.FreeAddresses(6)
+	g := &Group{t: t, program: program, folder: t.TempDir(), ip: fleet.FreeIP(), daemons: map[string]*Process{}, local: map[string]string{}, caller: map[string]string{}, peer: map[string]string{}}
+	addresses, err := fleet.FreeAddresses(g.ip, 6)
 	require.NoError(t, err)
 	g.peers, g.ops = addresses[:3], addresses[3:]
 	t.Cleanup(g.stop)
@@ -150,7 +151,7 @@
 func (g *Group) StartDaemon(name, zone string) *Process {
 	p := g.daemons[name]
 	if p == nil {
-		a, err := fleet.FreeAddresses(4)
+		a, err := fleet.FreeAddresses(g.ip, 4)
 		require.NoError(g.t, err)
 		path := g.write(name+".jsonc", map[string]any{
 			"name": name, "zone": zone, "caller": a[0], "gate": a[1], "peer": a[2], "local": a[3],
@@ -166,7 +167,7 @@
 // StartStandin starts a stand-in beside a daemon and returns it and its
 // address.
 func (g *Group) StartStandin(daemon, id, service, version string, more ...string) (*Process, string) {
-	a, err := fleet.FreeAddresses(1)
+	a, err := fleet.FreeAddresses(g.ip, 1)
 	require.NoError(g.t, err)
 	p := &Process{Name: id, args: append([]string{
 		"standin", "--id", id, "--service", service, "--version", version,
