--- a/cmd/endivewalk/apply.go
+++ b/cmd/endivewalk/apply.go
@@ -158,16 +158,46 @@
 	}
 	var builder expand.Builder
 	built, err := builder.Build(0, objects)
+	result := checkResult{File: path, Objects: len(document.Objects()), Sound: err == nil, Problems: []config.Problem{}}
 	if err == nil {
-		fmt.Fprintf(cmd.OutOrStdout(), "%s: %d objects, %d routes, all sound\n", path, len(document.Objects()), len(built.Routes()))
-		return nil
+		result.Routes = len(built.Routes())
 	}
 	if faults, ok := err.(expand.Faults); ok {
 		for _, f := range faults {
-			fmt.Fprintln(os.Stderr, document.Locate(f.Key, f.Path, f.Reason))
+			result.Problems = append(result.Problems, document.Locate(f.Key, f.Path, f.Reason))
 		}
 	}
-	return coded(exitRefused, errs.New("%s: not sound", path))
+	return result.print(cmd, o)
+}
+
+// checkResult is what check found.
+type checkResult struct {
+	File     string           `json:"file"`
+	Objects  int              `json:"objects"`
+	Routes   int              `json:"routes"`
+	Sound    bool             `json:"sound"`
+	Problems []config.Problem `json:"problems"`
+}
+
+func (r checkResult) print(cmd *cobra.Command, o *options) error {
+	if o.json {
+		if err := printJSON(cmd.OutOrStdout(), r); err != nil {
+			return err
+		}
+	} else {
+		for _, p := range r.Problems {
+			fmt.Fprintln(os.Stderr, p)
+		}
+	}
+	switch {
+	case !r.Sound && o.json:
+		return coded(exitRefused, errSilent)
+	case !r.Sound:
+		return coded(exitRefused, errs.New("%s: not sound", r.File))
+	case !o.json:
+		fmt.Fprintf(cmd.OutOrStdout(), "%s: %d objects, %d routes, all sound\n", r.File, r.Objects, r.Routes)
+	}
+	return nil
 }
 
 func inForce(ctx context.Context, o *options) (map[config.Key]config.Object, error) {
