Feed: waiting for news stands once

Cause: Pull and Notice each held the same check and the same wait.

Change: one function waits; the two say what they look for.

Figures: TestInForceIsKnown, TestRelayDies, TestLeaderCutOff, TestSourceDown and TestDeadDaemonIsNoticed pass, unchanged.

Conclusion: no behaviour changed.

--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -35,43 +35,40 @@
 
 // Pull waits for something newer than the child has.
 func (s *Service) Pull(args PullArgs, reply *PullReply) error {
-	if !config.ValidName(args.Host) || args.Wait < 0 {
-		s.hub.config.Counters.Add("feed_bad_messages", 1)
-		return ErrBadMessage
-	}
-	deadline := time.NewTimer(min(args.Wait, maxWait))
-	defer deadline.Stop()
-	for {
-		wake := s.hub.Wake()
+	return s.await(args.Host, args.Wait, func() bool {
 		*reply = s.hub.answer(s.clock(), args)
 		if reply.Delta != nil || reply.Busy > 0 {
-			return nil
+			return true
 		}
-		if len(reply.Records) > 0 {
-			time.Sleep(gather)
-			*reply = s.hub.answer(s.clock(), args)
-			return nil
+		if len(reply.Records) == 0 {
+			return false
 		}
-		select {
-		case <-wake:
-		case <-deadline.C:
-			return nil
-		}
-	}
+		time.Sleep(gather)
+		*reply = s.hub.answer(s.clock(), args)
+		return true
+	})
 }
 
 // Notice waits for a revision newer than the child has.
 func (s *Service) Notice(args NoticeArgs, reply *NoticeReply) error {
-	if !config.ValidName(args.Host) || args.Wait < 0 {
+	return s.await(args.Host, args.Wait, func() bool {
+		reply.Revision = s.hub.State().Revision()
+		return reply.Revision > args.Have
+	})
+}
+
+// await looks for an answer at each piece of news until there is one or the
+// child's wait is over.
+func (s *Service) await(host string, wait time.Duration, found func() bool) error {
+	if !config.ValidName(host) || wait < 0 {
 		s.hub.config.Counters.Add("feed_bad_messages", 1)
 		return ErrBadMessage
 	}
-	deadline := time.NewTimer(min(args.Wait, maxWait))
+	deadline := time.NewTimer(min(wait, maxWait))
 	defer deadline.Stop()
 	for {
 		wake := s.hub.Wake()
-		reply.Revision = s.hub.State().Revision()
-		if reply.Revision > args.Have {
+		if found() {
 			return nil
 		}
 		select {
