Leaving: listeners refuse first, and the other side closes idle connections

A gate closed its listener and its idle connections after a fixed linger, whether or not the entries had heard of the leave. Closing a listener resets what is in its accept queue, and closing an idle connection cuts off a call that is just being sent on it. The known red test of new connections has the same cause.

Ruled out: a longer linger (only makes it rarer); a socket filter (the kernel refuses it); a backlog of 0 with a connection of our own in it (what is being set up would still be reset).

Change: accept.Refuse binds the listener to an interface that does not exist, so that the system refuses new connections while those set up before are still accepted. The daemon then waits, at most one more linger, until the other side has closed what is open. Entries keep the connections of each gate apart and close the idle ones of a daemon that leaves. Trying the next target when nobody was reached takes no retry budget.

Conclusion: the end of a daemon no longer depends on how soon others hear.

--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/balance"
@@ -40,7 +41,8 @@
 	config   Config
 	balancer *balance.Balancer
 	retries  retryBudget
-	client   *http.Transport
+	gates    gates
+	keptFor  atomic.Pointer[feed.View]
 }
 
 // New returns an entry.
@@ -48,12 +50,25 @@
 	return &Entry{
 		config:   c,
 		balancer: balance.New(balance.Config{Zone: c.Zone}),
-		client:   newTransport(),
 	}
 }
 
 // Close closes the connections to other daemons.
-func (e *Entry) Close() { e.client.CloseIdleConnections() }
+func (e *Entry) Close() { e.gates.keep(nil) }
+
+// KeepGates closes the idle connections to daemons that leave or have gone. A
+// daemon that leaves waits for that, since only this side can close an idle
+// connection without cutting off a call.
+func (e *Entry) KeepGates(v *feed.View) {
+	if e.keptFor.Swap(v) == v {
+		return
+	}
+	staying := map[string]bool{}
+	for _, r := range v.Staying() {
+		staying[r.Gate] = true
+	}
+	e.gates.keep(staying)
+}
 
 // routed is a call on its way.
 type routed struct {
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -18,25 +17,9 @@
 	"github.com/endivewalk/endivewalk/internal/upstream"
 )
 
-const (
-	dialTimeout  = 500 * time.Millisecond
-	idlePerGate  = 256
-	idleLifetime = 30 * time.Second
-	// answerGrace is added to the deadline of a call on its way to a gate, so
-	// that the gate's word on what became of it can still come back.
-	answerGrace = 50 * time.Millisecond
-)
-
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idlePerGate,
-		IdleConnTimeout:     idleLifetime,
-		DisableCompression:  true,
-		WriteBufferSize:     bodyKept,
-	}
-}
+// answerGrace is added to the deadline of a call on its way to a gate, so that
+// the gate's word on what became of it can still come back.
+const answerGrace = 50 * time.Millisecond
 
 // send sends a call to a target once. The error is a *call.Refusal.
 func (e *Entry) send(c *routed, t feed.Target) (*upstream.Answer, error) {
@@ -57,7 +40,7 @@
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	request := e.newRequest(httptrace.WithClientTrace(ctx, trace), now, c, t)
-	response, err := e.client.RoundTrip(request)
+	response, err := e.gates.client(t.Gate).RoundTrip(request)
 	if err != nil {
 		cancel()
 		return nil, lost(ctx, sent.Load())
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -44,14 +44,19 @@
 		if !e.mayRepeat(c, refusal) || attempt == attemptLimit {
 			return nil, refusal
 		}
-		// A target that takes no new work costs nobody anything, and is not
-		// asked again soon, so trying the next one needs no budget.
-		if refusal.Reason != call.ReasonDraining && !e.mayRetry() {
+		if !costsNobody(refusal) && !e.mayRetry() {
 			return nil, refusal
 		}
 	}
 }
 
+// costsNobody reports whether an attempt ended without work for any upstream:
+// nobody was there, or a target takes no new work. It is not asked again soon,
+// so trying the next one needs no budget.
+func costsNobody(r *call.Refusal) bool {
+	return r.Run == call.RunNot && (r.Reason == call.ReasonDraining || r.Reason == call.ReasonUnreachable)
+}
+
 // worse keeps "unknown" if an earlier attempt may have run.
 func worse(r *call.Refusal, reason call.Reason) *call.Refusal {
 	if r.Run == call.RunUnknown {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,9 +33,9 @@
 	traffic  peer.Traffic
 	watch    watcher
 
-	caller    *http.Server
-	gateHTTP  *http.Server
-	local     *http.Server
+	caller    *front
+	gateHTTP  *front
+	local     *front
 	addresses Addresses
 
 	record   recordKeeper
@@ -83,11 +81,6 @@
 	return d, nil
 }
 
-const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = time.Minute
-)
-
 // listen opens all addresses, and serves those that need nothing else yet.
 func (d *Daemon) listen() error {
 	server, err := peer.Listen(d.config.Listen.Peer, &d.traffic)
@@ -109,28 +102,19 @@
 	if err != nil {
 		return err
 	}
-	if d.caller, err = d.serveHTTP(d.config.Listen.Caller, &d.addresses.Caller, d.closing(d.entry)); err != nil {
+	if d.caller, err = d.serveHTTP(d.config.Listen.Caller, d.entry); err != nil {
 		return err
 	}
-	if d.gateHTTP, err = d.serveHTTP(d.config.Listen.Gate, &d.addresses.Gate, d.closing(d.gate)); err != nil {
+	if d.gateHTTP, err = d.serveHTTP(d.config.Listen.Gate, d.gate); err != nil {
 		return err
 	}
-	d.local, err = d.serveHTTP(d.config.Listen.Local, &d.addresses.Local, local)
-	return err
-}
-
-func (d *Daemon) serveHTTP(address string, bound *string, h http.Handler) (*http.Server, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errs.New("daemon: %v", err)
-	}
-	*bound = l.Addr().String()
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: countedLog(d.config.Counters),
+	if d.local, err = d.serveHTTP(d.config.Listen.Local, local); err != nil {
+		return err
 	}
-	go s.Serve(l)
-	return s, nil
+	d.addresses.Caller = d.caller.address()
+	d.addresses.Gate = d.gateHTTP.address()
+	d.addresses.Local = d.local.address()
+	return nil
 }
 
 // startDuties starts one goroutine for each duty.
@@ -209,6 +193,7 @@
 		now := d.config.Clock()
 		d.gate.Expire(now)
 		d.hub.Expire(now)
+		d.entry.KeepGates(d.hub.View())
 		d.correctRecord()
 		if r := d.hub.State().Revision(); r > seen {
 			seen = r
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -2,48 +2,64 @@
 
 import (
 	"context"
-	"log"
-	"net/http"
 	"time"
 
-	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/event"
 )
 
-const leavePoll = 20 * time.Millisecond
+const (
+	leavePoll = 20 * time.Millisecond
+	// handshakeMost is how long a connection that was being set up when new
+	// ones began to be refused may take to be accepted.
+	handshakeMost = 200 * time.Millisecond
+)
 
-// Leave ends the daemon without cutting off a call: it says that it leaves,
-// goes on taking calls until others know, answers those that run, and stops.
-// It returns ctx's error if that took too long.
+// Leave ends the daemon without cutting off a call. It says that it leaves and
+// goes on taking calls until others know. Then it refuses new connections,
+// waits until those that are open have been closed by the other side or with
+// an answer, and stops. It returns ctx's error if that took too long.
 func (d *Daemon) Leave(ctx context.Context) error {
 	d.config.Events.Add(d.config.Clock(), event.Event{Kind: "daemon-leaving", Subject: d.config.Host, Text: "takes no new work soon"})
 	d.leaving.Store(true)
+	fronts := []*front{d.caller, d.gateHTTP}
+	for _, f := range fronts {
+		f.closing.Store(true)
+	}
 	d.renewRecord()
 	d.pause(d.config.Linger)
-	err := d.caller.Shutdown(ctx)
-	if gateErr := d.gateHTTP.Shutdown(ctx); err == nil {
+	for _, f := range fronts {
+		if f.refuse() != nil {
+			d.config.Counters.Add("listeners_not_refusing", 1)
+		}
+	}
+	d.pause(handshakeMost)
+	d.awaitClosed(ctx, fronts)
+	err := d.caller.shutdown(ctx)
+	if gateErr := d.gateHTTP.shutdown(ctx); err == nil {
 		err = gateErr
 	}
 	for err == nil && !d.gate.Idle() {
-		if ctx.Err() != nil {
-			err = ctx.Err()
-		}
+		err = ctx.Err()
 		d.pause(leavePoll)
 	}
 	d.Stop()
 	return err
 }
 
-// closing tells connections to close with their next answer once the daemon
-// leaves. Idle ones stay open until the linger is over: closing them at once
-// would cut off a call that is just being sent on one.
-func (d *Daemon) closing(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.leaving.Load() {
-			w.Header().Set("Connection", "close")
+// awaitClosed waits for open connections to be closed, at most as long as the
+// daemon lingers. A connection on which nobody calls can stay open for longer;
+// it is closed then.
+func (d *Daemon) awaitClosed(ctx context.Context, fronts []*front) {
+	for waited := time.Duration(0); waited < d.config.Linger && ctx.Err() == nil; waited += leavePoll {
+		open := int64(0)
+		for _, f := range fronts {
+			open += f.open.Load()
 		}
-		h.ServeHTTP(w, r)
-	})
+		if open == 0 {
+			return
+		}
+		d.pause(leavePoll)
+	}
 }
 
 // Stop ends the daemon at once.
@@ -59,25 +75,12 @@
 }
 
 func (d *Daemon) closeServers() {
-	for _, s := range []*http.Server{d.caller, d.gateHTTP, d.local} {
-		if s != nil {
-			s.Close()
+	for _, f := range []*front{d.caller, d.gateHTTP, d.local} {
+		if f != nil {
+			f.server.Close()
 		}
 	}
 	if d.server != nil {
 		d.server.Close()
 	}
 }
-
-// countedLog turns what net/http would log into a counter.
-func countedLog(c *count.Set) *log.Logger {
-	return log.New(countingWriter{c}, "", 0)
-}
-
-type countingWriter struct{ counters *count.Set }
-
-// Write counts a line.
-func (w countingWriter) Write(p []byte) (int, error) {
-	w.counters.Add("http_errors", 1)
-	return len(p), nil
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -236,8 +236,8 @@
 	return c
 }
 
-// sourceAddresses returns the control addresses of the replicas.
-func (f *Fleet) sourceAddresses() []string {
+// SourceAddresses returns the control addresses of the replicas.
+func (f *Fleet) SourceAddresses() []string {
 	var all []string
 	for _, r := range f.replicas {
 		all = append(all, r.Config.Listen)
@@ -249,7 +249,7 @@
 func (f *Fleet) StartDaemon(host, zone string) (*daemon.Daemon, error) {
 	any := f.ip + ":0"
 	d, err := daemon.Start(daemon.Config{
-		Host: host, Zone: zone, Sources: f.sourceAddresses(), Shape: f.config.Shape,
+		Host: host, Zone: zone, Sources: f.SourceAddresses(), Shape: f.config.Shape,
 		Listen: daemon.Addresses{Caller: any, Gate: any, Peer: any, Local: any},
 		Linger: f.config.Linger, Policy: f.config.Policy, Draw: f.draw(), Dial: f.dial(host),
 	})
