Floors: other daemons remember what a daemon has had in force

Cause: a daemon has no disk. With the source down it could not know what it had served in an earlier life, so that a restart took it out of service until the source was back.

Ruled out: the newest revision among neighbours (a daemon may have been the first to have one: TestRestartServesNothingOlder catches that variant); the set of keepers from the directory (it is not known after a start).

Change: settings name 3 or 5 keepers. A revision is in force only once most of them have noted it (at most 2 s; then it is in force unproved, counted and on the time line). After a start without the source, the floor is believed only if most keepers name one; a keeper that has restarted does not count until it has been told again, and word meant for its earlier life is not taken. A daemon that is not ready also pulls from its keepers.

Before: not ready until the source is back (TestSourceDown, still so without keepers). After: TestRestartWithTheSourceDown restarts four daemons in turn.

Seen to fail: without noting, with one keeper's word for most, without the keeper's instance, without pulling from keepers.

Conclusion: a restart needs the source or most of three neighbours.

--- a/cmd/endivewalk/run.go
+++ b/cmd/endivewalk/run.go
@@ -133,7 +133,7 @@
 	}
 	logger := newLogger(s.Name)
 	d, err := daemon.Start(daemon.Config{
-		Host: s.Name, Zone: s.Zone, Sources: s.Sources, Linger: time.Duration(s.Linger),
+		Host: s.Name, Zone: s.Zone, Sources: s.Sources, Keepers: s.Keepers, Linger: time.Duration(s.Linger),
 		Listen: daemon.Addresses{Caller: s.Caller, Gate: s.Gate, Peer: s.Peer, Local: s.Local},
 		Shape:  directory.Shape{Relays: s.Tree.Relays, Fanout: s.Tree.Fanout},
 		Logger: logger,
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -29,6 +29,7 @@
 	Zone     string
 	Listen   Addresses
 	Sources  []string // Control addresses of the source's replicas.
+	Keepers  []string // Control addresses of daemons that remember this one's floor.
 	Shape    directory.Shape
 	Linger   time.Duration // How long a leaving daemon still takes calls: 3 s.
 	Clock    func() time.Time
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/evidence"
 	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/floor"
 	"github.com/endivewalk/endivewalk/internal/localhttp"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/upstream"
@@ -24,6 +25,7 @@
 	config   Config
 	hub      *feed.Hub
 	child    *feed.Child
+	floors   *floor.Store // Of the daemons that this one is a keeper of.
 	gate     *upstream.Gate
 	entry    *caller.Entry
 	evidence *evidence.Counter
@@ -40,6 +42,7 @@
 
 	record   recordKeeper
 	leaving  atomic.Bool
+	unproved atomic.Bool
 	stop     chan struct{}
 	duties   sync.WaitGroup
 	stopOnce sync.Once
@@ -52,6 +55,7 @@
 	d := &Daemon{config: c, stop: make(chan struct{})}
 	incarnation := uint64(now.UnixMilli())
 	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters})
+	d.floors = floor.NewStore(d.hub.Instance())
 	d.evidence = evidence.NewCounter(c.Host, incarnation)
 	d.charges = newCharges()
 	d.watch.clients = map[string]*peer.Client{}
@@ -59,6 +63,7 @@
 		Host: c.Host, Zone: c.Zone, Sources: c.Sources, Shape: c.Shape,
 		Clock: c.Clock, Draw: c.Draw, Dial: c.Dial, Traffic: &d.traffic,
 		Refused: d.noteRefused, Parent: d.noteParent,
+		Floor: feed.FloorConfig{Keepers: c.Keepers, Proved: d.noteProved},
 	}, d.hub)
 	d.gate = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, Changed: d.renewRecord})
 	d.entry = caller.New(caller.Config{
@@ -93,6 +98,9 @@
 	if err := server.Register("Feed", service); err != nil {
 		return errs.New("daemon: %v", err)
 	}
+	if err := server.Register("Floor", d.floors); err != nil {
+		return errs.New("daemon: %v", err)
+	}
 	if err := server.Register("Watch", &watchService{daemon: d}); err != nil {
 		return errs.New("daemon: %v", err)
 	}
@@ -120,7 +128,7 @@
 // startDuties starts one goroutine for each duty.
 func (d *Daemon) startDuties() {
 	for _, duty := range []func(){
-		d.server.Serve, d.child.RunFloor, d.child.RunPull, d.child.RunSecond, d.child.RunReport,
+		d.server.Serve, d.child.RunFloor, d.child.RunKeepers, d.child.RunPull, d.child.RunSecond, d.child.RunReport,
 		d.runHousekeeping, d.runWatch, d.runBrakes,
 	} {
 		d.duties.Add(1)
@@ -136,6 +144,7 @@
 	c.Gauge("control_bytes_sent", func() any { return d.traffic.Sent() })
 	c.Gauge("control_bytes_received", func() any { return d.traffic.Received() })
 	c.Gauge("revision", func() any { return d.hub.State().Revision() })
+	c.Gauge("floors_kept", func() any { return d.floors.Hosts() })
 	c.Gauge("ready", func() any { return d.hub.Ready() })
 }
 
@@ -145,6 +154,9 @@
 // Hub returns what the daemon knows and passes on.
 func (d *Daemon) Hub() *feed.Hub { return d.hub }
 
+// FloorsKept returns how many daemons' floors this one remembers.
+func (d *Daemon) FloorsKept() int { return d.floors.Hosts() }
+
 // Ready reports whether calls are served.
 func (d *Daemon) Ready() bool { return d.hub.Ready() }
 
@@ -184,6 +196,19 @@
 	d.config.Events.Add(d.config.Clock(), event.Event{Kind: "parent", Subject: d.config.Host, Text: "pulls from " + address})
 }
 
+// noteProved tells when the keepers can't be had any more, and when they can.
+func (d *Daemon) noteProved(r config.Revision, ok bool) {
+	if d.unproved.Swap(!ok) == !ok {
+		return
+	}
+	kind, text := "floor-proved", "most keepers note its revisions again"
+	if !ok {
+		kind, text = "floor-unproved", "has a revision in force that most keepers have not noted"
+	}
+	d.config.Logger.Log("msg", text, "revision", r)
+	d.config.Events.Add(d.config.Clock(), event.Event{Kind: kind, Subject: d.config.Host, Revision: r, Text: text})
+}
+
 const housekeepingPause = 250 * time.Millisecond
 
 // runHousekeeping ends leases, drops what is old, and notes new revisions.
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -80,15 +80,12 @@
 // State returns the configuration in force.
 func (h *Hub) State() *State { return h.state.Load() }
 
-// Ready reports whether a daemon holds at least what the source's quorum had
-// accepted when the daemon started. Before that it might hold less than it
-// served in an earlier life, so it must not serve.
-func (h *Hub) Ready() bool {
-	floor := h.floor.Load()
-	return floor > 0 && uint64(h.State().Revision())+1 >= floor
-}
+// Ready reports whether a daemon holds at least its floor: what the source's
+// quorum had accepted when the daemon started, or what it had in force in an
+// earlier life. Before that it must not serve.
+func (h *Hub) Ready() bool { return h.serves(h.State().Revision()) }
 
-// setFloor notes what the source's quorum has accepted.
+// setFloor notes the revision from which on this process may serve.
 func (h *Hub) setFloor(r config.Revision) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -8,6 +8,7 @@
 	"github.com/endivewalk/endivewalk/internal/catalog"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/expand"
+	"github.com/endivewalk/endivewalk/internal/floor"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
@@ -18,7 +19,6 @@
 	reportTimeout = time.Second
 	reportLeast   = 50 * time.Millisecond // Between two reports.
 	reportMost    = time.Second           // Also without news.
-	latestTimeout = 3 * time.Second
 	refusedPause  = time.Second
 )
 
@@ -36,6 +36,7 @@
 	Refused func(config.Revision, error)
 	// Parent is called when the daemon turns to another parent.
 	Parent func(address string)
+	Floor  FloorConfig
 }
 
 // Child pulls a daemon's configuration and directory from the best parent
@@ -44,6 +45,7 @@
 	config  ChildConfig
 	hub     *Hub
 	taking  sync.Mutex // Held while a delta is put in force.
+	floor   *floor.Prover
 	builder expand.Builder
 	whole   bool // The next pull asks for a whole state.
 	mutex   sync.Mutex
@@ -60,7 +62,9 @@
 
 // NewChild returns a child that keeps hub up to date.
 func NewChild(c ChildConfig, hub *Hub) *Child {
-	return &Child{config: c, hub: hub, clients: map[string]*peer.Client{}, stop: make(chan struct{})}
+	child := &Child{config: c, hub: hub, clients: map[string]*peer.Client{}, stop: make(chan struct{})}
+	child.floor = floor.NewProver(floor.Config{Host: c.Host, Keepers: c.Floor.Keepers, Call: child.call})
+	return child
 }
 
 // Parent returns the address of the present parent.
@@ -97,6 +101,10 @@
 	return one
 }
 
+func (c *Child) call(address, method string, args, reply any, timeout time.Duration) error {
+	return c.client(address).Call(method, args, reply, timeout)
+}
+
 func (c *Child) pause(d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -108,24 +116,6 @@
 	}
 }
 
-// RunFloor asks the source for the newest accepted revision until it is
-// confirmed once.
-func (c *Child) RunFloor() {
-	for attempt := 0; ; attempt++ {
-		for _, address := range directory.PreferSources(c.config.Sources, c.config.Host, c.config.Zone) {
-			var reply LatestReply
-			err := c.client(address).Call("Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout)
-			if err == nil {
-				c.hub.setFloor(reply.Revision)
-				return
-			}
-		}
-		if !c.pause(backoff(attempt, c.config.Draw())) {
-			return
-		}
-	}
-}
-
 // RunPull pulls until Stop.
 func (c *Child) RunPull() {
 	for {
@@ -152,7 +142,12 @@
 	for _, r := range c.config.Shape.Parents(c.hub.View().Live(), c.config.Host, c.config.Zone) {
 		all = append(all, r.Peer)
 	}
-	return append(all, directory.PreferSources(c.config.Sources, c.config.Host, c.config.Zone)...)
+	all = append(all, directory.PreferSources(c.config.Sources, c.config.Host, c.config.Zone)...)
+	if !c.hub.Ready() {
+		// A daemon that has just started knows no other daemons.
+		all = append(all, c.config.Floor.Keepers...)
+	}
+	return all
 }
 
 // turnTo makes address the parent and takes leave of the old one.
@@ -263,6 +258,9 @@
 		}
 		return false
 	}
+	if c.hub.serves(next.Revision()) {
+		c.prove(next.Revision())
+	}
 	c.hub.Publish(next, table)
 	return true
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,7 @@
 	Zones    []string // The data centres; nil means three.
 	Shape    directory.Shape
 	Policy   move.Policy
+	Keepers  []string      // Hosts of daemons that remember the others' floors.
 	Linger   time.Duration // Of leaving daemons; 0 means 300 ms.
 	Timing   source.Timing
 	Dial     func(from string) peer.Dial // How a process opens connections; nil means TCP.
@@ -66,6 +67,7 @@
 	random   *rand.Rand
 	replicas []*Replica
 	daemons  map[string]*daemon.Daemon
+	peers    map[string]string // The control address of each host's daemon.
 	standins map[string]*standin.Standin
 }
 
@@ -82,7 +84,7 @@
 	}
 	f := &Fleet{
 		config: c, ip: FreeIP(), random: rand.New(rand.NewPCG(c.Seed, c.Seed)),
-		daemons: map[string]*daemon.Daemon{}, standins: map[string]*standin.Standin{},
+		daemons: map[string]*daemon.Daemon{}, peers: map[string]string{}, standins: map[string]*standin.Standin{},
 	}
 	members, operators, err := f.allocate()
 	if err != nil {
@@ -245,13 +247,54 @@
 	return all
 }
 
-// StartDaemon starts a daemon in a data centre, on any free ports.
+// peerAddress returns the control address of a host's daemon, which stays the
+// same over restarts.
+func (f *Fleet) peerAddress(host string) (string, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.peers[host] == "" {
+		addresses, err := FreeAddresses(f.ip, 1)
+		if err != nil {
+			return "", err
+		}
+		f.peers[host] = addresses[0]
+	}
+	return f.peers[host], nil
+}
+
+// keepersOf returns the control addresses of a host's keepers.
+func (f *Fleet) keepersOf(host string) ([]string, error) {
+	var all []string
+	for _, keeper := range f.config.Keepers {
+		if keeper == host {
+			continue
+		}
+		address, err := f.peerAddress(keeper)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, address)
+	}
+	return all, nil
+}
+
+// StartDaemon starts a daemon in a data centre. Its control address is that of
+// the host's earlier daemons; the others are free ones.
 func (f *Fleet) StartDaemon(host, zone string) (*daemon.Daemon, error) {
 	any := f.ip + ":0"
+	own, err := f.peerAddress(host)
+	if err != nil {
+		return nil, err
+	}
+	keepers, err := f.keepersOf(host)
+	if err != nil {
+		return nil, err
+	}
 	d, err := daemon.Start(daemon.Config{
 		Host: host, Zone: zone, Sources: f.SourceAddresses(), Shape: f.config.Shape,
-		Listen: daemon.Addresses{Caller: any, Gate: any, Peer: any, Local: any},
-		Linger: f.config.Linger, Policy: f.config.Policy, Draw: f.draw(), Dial: f.dial(host),
+		Keepers: keepers,
+		Listen:  daemon.Addresses{Caller: any, Gate: any, Peer: own, Local: any},
+		Linger:  f.config.Linger, Policy: f.config.Policy, Draw: f.draw(), Dial: f.dial(host),
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/floor/store.go
@@ -0,0 +1,105 @@
+// Package floor keeps, on other daemons, the newest revision that a daemon has
+// had in force.
+//
+// A daemon has no disk. When it starts it must not serve anything older than in
+// an earlier life, and the source, which could tell what is new enough, may be
+// down. So a few other daemons, its keepers, remember its floor. The daemon
+// puts a revision in force only after most of its keepers have noted it, and
+// after a start it believes its floor only when most of them name one.
+package floor
+
+import (
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// Errors of a keeper that callers test with errors.Is.
+var (
+	ErrBadMessage = errs.New("floor: malformed message")
+	ErrFull       = errs.New("floor: this keeper has no room for another daemon")
+)
+
+// hostsMost bounds the daemons that one keeper remembers. A keeper serves the
+// daemons of its data centre at most.
+const hostsMost = 4096
+
+// NoteArgs asks a keeper to remember a daemon's floor. Instance names the life
+// of the keeper that the daemon means: word that was meant for an earlier life
+// may be old and must not count in this one.
+type NoteArgs struct {
+	Host     string
+	Instance uint64
+	Revision config.Revision
+}
+
+// NoteReply tells which life of the keeper answers, and whether it took the
+// note.
+type NoteReply struct {
+	Instance uint64
+	Taken    bool
+}
+
+// AskArgs asks a keeper for a daemon's floor.
+type AskArgs struct{ Host string }
+
+// AskReply is what the keeper was told in this life. Known is false if it was
+// told nothing.
+type AskReply struct {
+	Known    bool
+	Revision config.Revision
+}
+
+// Store is a keeper's memory. Its exported methods are those of net/rpc. It is
+// safe for concurrent use. Make one with NewStore.
+type Store struct {
+	instance uint64
+	mutex    sync.Mutex
+	floors   map[string]config.Revision
+}
+
+// NewStore returns an empty memory. instance must differ in each life of the
+// process.
+func NewStore(instance uint64) *Store {
+	return &Store{instance: instance, floors: map[string]config.Revision{}}
+}
+
+// Note remembers a daemon's floor. Floors never fall.
+func (s *Store) Note(args NoteArgs, reply *NoteReply) error {
+	if !config.ValidName(args.Host) {
+		return ErrBadMessage
+	}
+	reply.Instance = s.instance
+	if args.Instance != s.instance {
+		return nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	old, known := s.floors[args.Host]
+	if !known && len(s.floors) >= hostsMost {
+		return ErrFull
+	}
+	s.floors[args.Host] = max(old, args.Revision)
+	reply.Taken = true
+	return nil
+}
+
+// Hosts returns how many daemons' floors are remembered.
+func (s *Store) Hosts() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.floors)
+}
+
+// Ask tells a daemon's floor.
+func (s *Store) Ask(args AskArgs, reply *AskReply) error {
+	if !config.ValidName(args.Host) {
+		return ErrBadMessage
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	reply.Revision, reply.Known = s.floors[args.Host]
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,7 @@
 	Peer    string          `json:"peer" jsonc:"required"`
 	Local   string          `json:"local" jsonc:"required"`
 	Sources []string        `json:"sources" jsonc:"required"` // Their peer addresses.
+	Keepers []string        `json:"keepers"`                  // Peer addresses of daemons that remember this one's floor.
 	Linger  config.Duration `json:"linger"`
 	Tree    Tree            `json:"tree"`
 }
@@ -192,6 +193,7 @@
 	for i, a := range d.Sources {
 		checkAddress(f, "sources["+strconv.Itoa(i)+"]", a)
 	}
+	d.checkKeepers(f)
 	if d.Linger > lingerMost {
 		f.Report("linger", "want at most %v", lingerMost)
 	}
@@ -200,6 +202,23 @@
 	}
 }
 
+// checkKeepers wants an odd number of other daemons: an even one can lose no
+// more of them than one less.
+func (d *Daemon) checkKeepers(f *jsonc.File) {
+	if n := len(d.Keepers); n != 0 && n != 3 && n != 5 {
+		f.Report("keepers", "want none, 3 or 5 daemons, got %d", n)
+	}
+	seen := map[string]bool{d.Peer: true}
+	for i, a := range d.Keepers {
+		path := "keepers[" + strconv.Itoa(i) + "]"
+		checkAddress(f, path, a)
+		if seen[a] {
+			f.Report(path, "%s stands twice, or is this daemon", a)
+		}
+		seen[a] = true
+	}
+}
+
 func checkName(f *jsonc.File, path, name string) {
 	if !config.ValidName(name) {
 		f.Report(path, "%q is no valid name: want lower case letters, digits and inner hyphens", name)
