--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -131,22 +131,40 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>8)%128, pid%256, 1+groups.Add(1)%groupsOfProcess)
 }
 
-// FreeAddresses returns addresses at an IP number that nothing listens on.
+// The ports that FreeAddresses gives out. They lie below those that the system
+// gives to whoever asks for any, so that an address stays free while the
+// process it was given to does not run.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+// ports is the next port to give out at each IP number.
+var ports = struct {
+	mutex sync.Mutex
+	next  map[string]int
+}{next: map[string]int{}}
+
+// FreeAddresses returns addresses at an IP number that nothing listens on. No
+// address is given out twice.
 func FreeAddresses(ip string, count int) ([]string, error) {
-	var listeners []net.Listener
+	ports.mutex.Lock()
+	defer ports.mutex.Unlock()
 	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp", ip+":0")
+	for port := max(firstPort, ports.next[ip]); port < lastPort; port++ {
+		address := net.JoinHostPort(ip, strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, errs.New("fleet: %v", err)
+			continue
 		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
-	}
-	for _, l := range listeners {
 		l.Close()
+		addresses = append(addresses, address)
+		if len(addresses) == count {
+			ports.next[ip] = port + 1
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, errs.New("fleet: no %d free ports at %s", count, ip)
 }
 
 func (f *Fleet) dial(from string) peer.Dial {
--- a/internal/processtest/processes.go
+++ b/internal/processtest/processes.go
@@ -57,12 +57,14 @@
 	local   map[string]string
 	caller  map[string]string
 	peer    map[string]string
+	places  map[string][]string // The addresses of each daemon.
+	keepers []string            // Daemons that remember the others' floors.
 	others  []*Process
 }
 
 // New prepares a group of three source replicas and starts them.
 func New(t testing.TB, program string) *Group {
-	g := &Group{t: t, program: program, folder: t.TempDir(), ip: fleet.FreeIP(), daemons: map[string]*Process{}, local: map[string]string{}, caller: map[string]string{}, peer: map[string]string{}}
+	g := &Group{t: t, program: program, folder: t.TempDir(), ip: fleet.FreeIP(), daemons: map[string]*Process{}, local: map[string]string{}, caller: map[string]string{}, peer: map[string]string{}, places: map[string][]string{}}
 	addresses, err := fleet.FreeAddresses(g.ip, 6)
 	require.NoError(t, err)
 	g.peers, g.ops = addresses[:3], addresses[3:]
@@ -146,16 +148,42 @@
 // StartSource starts a source replica again.
 func (g *Group) StartSource(i int, more ...string) { g.start(g.sources[i], more...) }
 
+// KeepFloors makes daemons that are started later remember each other's floors
+// and those of all others.
+func (g *Group) KeepFloors(daemons ...string) { g.keepers = daemons }
+
+// place returns the addresses of a daemon, which stay the same over restarts.
+func (g *Group) place(name string) []string {
+	if g.places[name] == nil {
+		addresses, err := fleet.FreeAddresses(g.ip, 4)
+		require.NoError(g.t, err)
+		g.places[name] = addresses
+	}
+	return g.places[name]
+}
+
+// keepersMost is how many keepers a daemon has.
+const keepersMost = 3
+
+func (g *Group) keepersOf(name string) []string {
+	keepers := []string{}
+	for _, keeper := range g.keepers {
+		if keeper != name && len(keepers) < keepersMost {
+			keepers = append(keepers, g.place(keeper)[2])
+		}
+	}
+	return keepers
+}
+
 // StartDaemon starts a daemon, on the addresses that it had before if it ran
 // before.
 func (g *Group) StartDaemon(name, zone string) *Process {
 	p := g.daemons[name]
 	if p == nil {
-		a, err := fleet.FreeAddresses(g.ip, 4)
-		require.NoError(g.t, err)
+		a := g.place(name)
 		path := g.write(name+".jsonc", map[string]any{
 			"name": name, "zone": zone, "caller": a[0], "gate": a[1], "peer": a[2], "local": a[3],
-			"sources": g.peers, "linger": "500ms",
+			"sources": g.peers, "keepers": g.keepersOf(name), "linger": "500ms",
 		})
 		p = &Process{Name: name, args: []string{"daemon", "--settings", path}}
 		g.daemons[name], g.local[name], g.caller[name], g.peer[name] = p, a[3], a[0], a[2]
