--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -11,6 +11,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 // Buckets is the number of latency buckets. Bucket i holds calls of up to
@@ -68,6 +72,40 @@
 	Rows        []Row
 }
 
+// ErrInvalid is returned for a report that no daemon would send.
+var ErrInvalid = errs.New("evidence: invalid report")
+
+// rowsMost bounds what one daemon may report.
+const rowsMost = 1 << 16
+
+// Check returns ErrInvalid unless the report is well formed.
+func (r Report) Check() error {
+	if !config.ValidName(r.Origin) || r.Incarnation == 0 || len(r.Rows) > rowsMost {
+		return ErrInvalid
+	}
+	for _, row := range r.Rows {
+		if row.Check() != nil {
+			return ErrInvalid
+		}
+	}
+	return nil
+}
+
+// Check returns ErrInvalid unless the counts can be those of calls.
+func (r Row) Check() error {
+	if !config.ValidName(r.Service) || r.Failed < 0 || r.Calls < r.Failed {
+		return ErrInvalid
+	}
+	left := r.Calls - r.Failed
+	for _, n := range r.Latency {
+		if n < 0 || n > left {
+			return ErrInvalid
+		}
+		left -= n
+	}
+	return nil
+}
+
 // Supersedes reports whether r is newer than old.
 func (r Report) Supersedes(old Report) bool {
 	if r.Incarnation != old.Incarnation {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -273,6 +273,10 @@
 	defer h.mutex.Unlock()
 	news := false
 	for _, r := range reports {
+		if r.Check() != nil {
+			h.config.Counters.Add("feed_bad_reports", 1)
+			continue
+		}
 		news = h.evidence.Merge(from, r) || news
 	}
 	if news {
