--- a/internal/expand/build_test.go
+++ b/internal/expand/build_test.go
@@ -1,13 +1,18 @@
 package expand_test
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/endivewalk/endivewalk/examples"
+	"github.com/endivewalk/endivewalk/internal/catalog"
 	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
@@ -136,24 +141,32 @@
 	}
 }
 
+// sized builds objects of the size of two years out, for a number of teams, with
+// a path that all teams share.
+func sized(t testing.TB, teams int, path string) map[config.Key]config.Object {
+	var values []any
+	for i := range 1200 {
+		values = append(values, config.Service{Name: fmt.Sprintf("s%d", i), Version: "v1", Deadline: "finish"})
+	}
+	values = append(values, config.Template{Name: "t", Parameters: []string{"s", "p"}, Routes: []config.TemplateRoute{
+		{Name: "a", Method: "GET", Path: path + "/${p}/a", Service: "${s}", Repeat: "safe", Timeout: "1s"},
+		{Name: "b", Method: "POST", Path: path + "/${p}/b", Service: "${s}", Repeat: "never", Timeout: "1s"},
+	}})
+	for i := range teams {
+		values = append(values, config.Parameters{Team: fmt.Sprintf("team%d", i), Template: "t", Values: map[string]string{"p": "p", "s": fmt.Sprintf("s%d", i%1200)}})
+	}
+	all := map[config.Key]config.Object{}
+	for _, v := range values {
+		o, err := config.MakeObject(v)
+		require.NoError(t, err)
+		all[o.Key] = o
+	}
+	return all
+}
+
 func BenchmarkBuild(b *testing.B) {
 	for _, teams := range []int{100, 1000} {
-		all := map[config.Key]config.Object{}
-		put := func(v any) {
-			o, err := config.MakeObject(v)
-			require.NoError(b, err)
-			all[o.Key] = o
-		}
-		for i := range 1200 {
-			put(config.Service{Name: fmt.Sprintf("s%d", i), Version: "v1", Deadline: "finish"})
-		}
-		put(config.Template{Name: "t", Parameters: []string{"s", "p"}, Routes: []config.TemplateRoute{
-			{Name: "a", Method: "GET", Path: "/${p}/a", Service: "${s}", Repeat: "safe", Timeout: "1s"},
-			{Name: "b", Method: "POST", Path: "/${p}/b", Service: "${s}", Repeat: "never", Timeout: "1s"},
-		}})
-		for i := range teams {
-			put(config.Parameters{Team: fmt.Sprintf("team%d", i), Template: "t", Values: map[string]string{"p": "p", "s": fmt.Sprintf("s%d", i%1200)}})
-		}
+		all := sized(b, teams, "")
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
 			var builder expand.Builder
 			for b.Loop() {
@@ -164,3 +177,39 @@
 		})
 	}
 }
+
+// BenchmarkBytes compares what a daemon is sent when a template changes, as
+// templates with parameters, with the routes that change would be if they came
+// expanded. Both are encoded as peers encode them.
+func BenchmarkBytes(b *testing.B) {
+	type sentRoute struct{ Team, Name, Method, Path, Service, Timeout string }
+	for _, teams := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			for b.Loop() {
+				before, after := sized(b, teams, ""), sized(b, teams, "/new")
+				var c catalog.Catalog
+				c.Change(slices.Collect(maps.Values(before)), nil)
+				old := c.Clone()
+				key := config.MakeKey(config.KindTemplate, "t")
+				c.Change([]config.Object{after[key]}, nil)
+				delta := c.Delta(old.Revision(), old.Digest())
+				var builder expand.Builder
+				table, err := builder.Build(2, after)
+				require.NoError(b, err)
+				var routes []sentRoute
+				for _, r := range table.Routes() {
+					routes = append(routes, sentRoute{r.Team(), r.Name(), r.Method(), r.Path(), r.Service(), r.Timeout().String()})
+				}
+				b.ReportMetric(float64(encoded(b, delta)), "B-template")
+				b.ReportMetric(float64(encoded(b, routes)), "B-expanded")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func encoded(b *testing.B, v any) int {
+	var buffer bytes.Buffer
+	require.NoError(b, gob.NewEncoder(&buffer).Encode(v))
+	return buffer.Len()
+}
--- a/internal/processtest/linear_test.go
+++ b/internal/processtest/linear_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -60,12 +61,15 @@
 	},
 }
 
+// histories is how many seeds TestOperatorsAreLinearizable runs.
+var histories = flag.Uint64("histories", 2, "histories of operators to check")
+
 // TestOperatorsAreLinearizable has several operators read and change one
 // contract at all replicas, while the leader is killed and frozen, and checks
 // the history.
 func TestOperatorsAreLinearizable(t *testing.T) {
 	t.Parallel()
-	for _, seed := range []uint64{1, 2} {
+	for seed := uint64(1); seed <= *histories; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			g := processtest.New(t, program)
 			applyNow(t, g, "base", kilele(t)...)
