Claims: a keyed call that must not be repeated runs at most once

Cause: an Idempotency-Key was passed to the upstream and nothing more. A caller that resent a keyed booking could have it run twice.

Ruled out: keepers by rank in the directory (majorities of different views need not meet); keepers that grant at once after a restart (they have forgotten claims); keepers that only wait for claims to run out (each restart would refuse keyed calls for an hour).

Change: settings name 3 or 5 daemons that keep claims, the same in all daemons. An entry runs a keyed call only after most of them have granted its claim within 0.5 s, gives the claim back if the call did not run, and has them keep the answer, or the word that nobody knows. Gates run no keyed call after half of the claim's lifetime, whatever it has waited for. Fleets keep their addresses over restarts.

--- a/cmd/endivewalk/run.go
+++ b/cmd/endivewalk/run.go
@@ -113,27 +113,31 @@
 
 func newDaemon() *cobra.Command {
 	var path string
+	var firstClaims bool
 	cmd := &cobra.Command{
 		Use:   "daemon --settings FILE",
 		Short: "Run the daemon beside an upstream",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runDaemon(cmd.Context(), path)
+			return runDaemon(cmd.Context(), path, firstClaims)
 		},
 	}
+	cmd.Flags().BoolVar(&firstClaims, "first-claims", false, "no keyed call was ever served with these keepers of claims")
 	cmd.Flags().StringVar(&path, "settings", "", "settings file")
 	cmd.MarkFlagRequired("settings")
 	return cmd
 }
 
-func runDaemon(ctx context.Context, path string) error {
+func runDaemon(ctx context.Context, path string, firstClaims bool) error {
 	s, err := settings.ReadDaemon(path)
 	if err != nil {
 		return coded(exitUsage, err)
 	}
 	logger := newLogger(s.Name)
 	d, err := daemon.Start(daemon.Config{
-		Host: s.Name, Zone: s.Zone, Sources: s.Sources, Keepers: s.Keepers, Linger: time.Duration(s.Linger),
+		Host: s.Name, Zone: s.Zone, Sources: s.Sources, Keepers: s.Keepers,
+		Claims: daemon.Claims{Keepers: s.Claims.Keepers, Lifetime: time.Duration(s.Claims.Lifetime), First: firstClaims},
+		Linger: time.Duration(s.Linger),
 		Listen: daemon.Addresses{Caller: s.Caller, Gate: s.Gate, Peer: s.Peer, Local: s.Local},
 		Shape:  directory.Shape{Relays: s.Tree.Relays, Fanout: s.Tree.Fanout},
 		Logger: logger,
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -28,6 +28,7 @@
 	HeaderRoute    = "Endivewalk-Route"
 	HeaderDepth    = "Endivewalk-Depth" // Calls that this one is nested in.
 	HeaderTook     = "Endivewalk-Took"  // Microseconds that the upstream needed.
+	HeaderUntil    = "Endivewalk-Until" // When a keyed call must not be run any more: milliseconds since 1970.
 	HeaderHost     = "Endivewalk-Host"  // The daemon that sends the call.
 )
 
--- a/internal/call/copy.go
+++ b/internal/call/copy.go
@@ -6,6 +6,9 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // hopHeaders belong to one connection and are not passed on.
@@ -111,6 +114,26 @@
 	}
 }
 
+// SetUntil sets the header that says until when a keyed call may be run.
+func SetUntil(h http.Header, until time.Time) {
+	if !until.IsZero() {
+		h.Set(HeaderUntil, strconv.FormatInt(until.UnixMilli(), 10))
+	}
+}
+
+// ParseUntil reads that header. Without it, it returns the zero time.
+func ParseUntil(h http.Header) (time.Time, error) {
+	text := h.Get(HeaderUntil)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return time.Time{}, errs.New("call: malformed header %s", HeaderUntil)
+	}
+	return time.UnixMilli(millis), nil
+}
+
 // Depth returns in how many calls of the mesh a call is nested.
 func Depth(h http.Header) int {
 	n, err := strconv.Atoi(h.Get(HeaderDepth))
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivewalk/endivewalk/internal/balance"
 	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/claim"
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/evidence"
 	"github.com/endivewalk/endivewalk/internal/expand"
@@ -34,6 +35,9 @@
 	// Braked reports whether this daemon has stopped sending calls to the new
 	// version of a move.
 	Braked func(m config.Move) bool
+	// Claims asks for the claims of keyed calls that must not be repeated.
+	// Without it, their keys are passed on to the upstream and nothing more.
+	Claims *claim.Taker
 }
 
 // Entry routes calls. It is safe for concurrent use. Make one with New.
@@ -78,6 +82,7 @@
 	deadline time.Time
 	depth    int
 	key      string
+	until    time.Time // When the claim of a keyed call may be forgotten.
 	body     *callBody
 }
 
@@ -90,6 +95,10 @@
 		return
 	}
 	defer c.body.release()
+	if c.key != "" && !c.route.Repeatable() && e.config.Claims != nil {
+		e.serveClaimed(w, c)
+		return
+	}
 	answer, err := e.serve(c)
 	if err != nil {
 		e.refuse(w, call.AsRefusal(err))
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -27,7 +27,7 @@
 		return e.config.Gate.Do(c.request.Context(), upstream.Call{
 			Upstream: t.ID, Method: c.request.Method, URL: c.request.URL, Header: c.request.Header,
 			Body: c.body.open(), Length: c.body.length(), Key: c.key,
-			Repeat: c.route.Repeatable(), Deadline: c.deadline,
+			Repeat: c.route.Repeatable(), Deadline: c.deadline, Until: c.until,
 		})
 	}
 	return e.sendAway(c, t)
@@ -89,6 +89,7 @@
 	if c.key != "" {
 		r.Header.Set(call.HeaderInnerKey, c.key)
 	}
+	call.SetUntil(r.Header, c.until)
 	if c.route.Repeatable() {
 		r.Header.Set(call.HeaderRepeat, "safe")
 	}
--- /dev/null
+++ b/internal/claim/keeper.go
@@ -0,0 +1,246 @@
+package claim
+
+import (
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
+)
+
+// Errors of a keeper that callers test with errors.Is.
+var (
+	ErrBadMessage  = errs.New("claim: malformed message")
+	ErrOtherList   = errs.New("claim: the keeper's settings name other keepers")
+	ErrNotComplete = errs.New("claim: the keeper has not learned all claims yet")
+)
+
+// ListDigest identifies a list of keepers. Entries and keepers whose settings
+// differ must not work together: their majorities need not meet.
+func ListDigest(keepers []string) uint64 {
+	h := xxh3.New()
+	for _, k := range keepers {
+		h.WriteString(k)
+		h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+// TakeArgs asks for a claim.
+type TakeArgs struct {
+	List    uint64
+	Key     string
+	Attempt string
+	Digest  uint64
+}
+
+// TakeReply is the keeper's verdict, and the claim held if there is one.
+type TakeReply struct {
+	Verdict Verdict
+	Claim   Claim
+}
+
+// FreeArgs gives a claim back.
+type FreeArgs struct{ Key, Attempt string }
+
+// FreeReply carries nothing.
+type FreeReply struct{}
+
+// FinishArgs tells what became of a call.
+type FinishArgs struct {
+	Key, Attempt string
+	State        State
+	Answer       *Answer
+}
+
+// FinishReply carries nothing.
+type FinishReply struct{}
+
+// CopyArgs asks for the claims after a key.
+type CopyArgs struct {
+	List  uint64
+	After string
+}
+
+// CopyReply holds claims in the order of their keys; none are left if it is
+// empty.
+type CopyReply struct{ Claims []Claim }
+
+const (
+	copyCount  = 500
+	copyBodies = 1 << 20 // Bytes of answers in one reply.
+	answerMost = 64 << 10
+)
+
+// Keeper answers entries and other keepers. Its exported methods are those of
+// net/rpc. It is safe for concurrent use. Make one with NewKeeper.
+type Keeper struct {
+	list  uint64
+	clock func() time.Time
+	mutex sync.Mutex
+	book  *Book
+}
+
+// NewKeeper returns a keeper that starts now. It is complete at once if nothing
+// has ever been claimed from these keepers, which only an operator can know.
+func NewKeeper(keepers []string, lifetime time.Duration, clock func() time.Time, first bool) *Keeper {
+	k := &Keeper{list: ListDigest(keepers), clock: clock, book: NewBook(clock(), lifetime)}
+	if first {
+		k.book.SetComplete()
+	}
+	return k
+}
+
+// Take answers an entry that asks for a claim.
+func (k *Keeper) Take(args TakeArgs, reply *TakeReply) error {
+	switch {
+	case !validKey(args.Key) || args.Attempt == "":
+		return ErrBadMessage
+	case args.List != k.list:
+		return ErrOtherList
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	reply.Verdict, reply.Claim = k.book.Take(k.clock(), args.Key, args.Attempt, args.Digest)
+	return nil
+}
+
+// Free takes a claim back.
+func (k *Keeper) Free(args FreeArgs, _ *FreeReply) error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.book.Free(args.Key, args.Attempt)
+	return nil
+}
+
+// Finish notes what became of a call.
+func (k *Keeper) Finish(args FinishArgs, _ *FinishReply) error {
+	if args.State > StateLost || (args.State == StateAnswered) != (args.Answer != nil) {
+		return ErrBadMessage
+	}
+	if args.Answer != nil && len(args.Answer.Body) > answerMost {
+		return ErrBadMessage
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.book.Finish(args.Key, args.Attempt, args.State, args.Answer)
+	return nil
+}
+
+// Copy tells a keeper that has started anew what this one knows.
+func (k *Keeper) Copy(args CopyArgs, reply *CopyReply) error {
+	if args.List != k.list {
+		return ErrOtherList
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := k.clock()
+	if !k.book.Complete(now) {
+		return ErrNotComplete
+	}
+	size := 0
+	for _, c := range k.book.Copy(now, args.After, copyCount) {
+		if c.Answer != nil {
+			size += len(c.Answer.Body)
+		}
+		reply.Claims = append(reply.Claims, c)
+		if size > copyBodies {
+			break
+		}
+	}
+	return nil
+}
+
+// Len returns how many claims are kept.
+func (k *Keeper) Len() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.book.Len()
+}
+
+// Complete reports whether the keeper grants claims.
+func (k *Keeper) Complete() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.book.Complete(k.clock())
+}
+
+const (
+	// roundMost is how long an attempt may gather grants.
+	roundMost = 500 * time.Millisecond
+	// learnAfter is how long a keeper that has started waits before it learns
+	// from others: until every attempt that an earlier life of it granted has
+	// gathered its majority or given up.
+	learnAfter = 4 * roundMost
+	learnPause = time.Second
+)
+
+// Call calls a method of the process at an address.
+type Call func(address, method string, args, reply any, timeout time.Duration) error
+
+// Learn makes a keeper that has started complete, by what a majority of all
+// keepers know. It returns when it is, or when stop is closed. Two keepers of
+// three that start at once can't learn from each other; what they granted
+// before has to run out first.
+func (k *Keeper) Learn(keepers []string, own string, call Call, stop <-chan struct{}) {
+	if !rest(learnAfter, stop) {
+		return
+	}
+	learned := map[string]bool{}
+	for !k.Complete() {
+		for _, address := range keepers {
+			if address != own && !learned[address] {
+				learned[address] = k.learnFrom(address, call)
+			}
+		}
+		if count(learned) >= majority(len(keepers)) {
+			k.mutex.Lock()
+			k.book.SetComplete()
+			k.mutex.Unlock()
+			return
+		}
+		if !rest(learnPause, stop) {
+			return
+		}
+	}
+}
+
+func count(set map[string]bool) int {
+	n := 0
+	for _, in := range set {
+		if in {
+			n++
+		}
+	}
+	return n
+}
+
+// majority returns how many keepers most of them are.
+func majority(keepers int) int { return keepers/2 + 1 }
+
+func (k *Keeper) learnFrom(address string, call Call) bool {
+	for after := ""; ; {
+		var reply CopyReply
+		if call(address, "Claims.Copy", CopyArgs{List: k.list, After: after}, &reply, learnPause) != nil {
+			return false
+		}
+		if len(reply.Claims) == 0 {
+			return true
+		}
+		after = reply.Claims[len(reply.Claims)-1].Key
+		k.mutex.Lock()
+		k.book.Merge(k.clock(), reply.Claims)
+		k.mutex.Unlock()
+	}
+}
+
+func rest(pause time.Duration, stop <-chan struct{}) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/daemon/claims.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"slices"
+
+	"github.com/endivewalk/endivewalk/internal/claim"
+)
+
+// newTaker returns what the entry asks for claims, or nil if none are kept.
+func (d *Daemon) newTaker(incarnation uint64) *claim.Taker {
+	if len(d.config.Claims.Keepers) == 0 {
+		return nil
+	}
+	return claim.NewTaker(claim.TakerConfig{
+		Host: d.config.Host, Incarnation: incarnation, Keepers: d.config.Claims.Keepers,
+		Lifetime: d.config.Claims.Lifetime, Clock: d.config.Clock, Call: d.child.Call,
+	})
+}
+
+// newKeeper makes this daemon a keeper of claims if the settings name it.
+func (d *Daemon) newKeeper() {
+	if slices.Contains(d.config.Claims.Keepers, d.config.Listen.Peer) {
+		d.claims = claim.NewKeeper(d.config.Claims.Keepers, d.config.Claims.Lifetime, d.config.Clock, d.config.Claims.First)
+	}
+}
+
+// runClaims makes a keeper that has started complete.
+func (d *Daemon) runClaims() {
+	if d.claims != nil {
+		d.claims.Learn(d.config.Claims.Keepers, d.config.Listen.Peer, d.child.Call, d.stop)
+	}
+}
+
+// KeepsClaims reports whether this daemon grants claims of keyed calls.
+func (d *Daemon) KeepsClaims() bool { return d.claims != nil && d.claims.Complete() }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -31,6 +31,7 @@
 	Sources  []string // Control addresses of the source's replicas.
 	Keepers  []string // Control addresses of daemons that remember this one's floor.
 	Shape    directory.Shape
+	Claims   Claims
 	Linger   time.Duration // How long a leaving daemon still takes calls: 3 s.
 	Clock    func() time.Time
 	Draw     func() float64 // Random numbers in [0, 1).
@@ -41,12 +42,25 @@
 	Counters *count.Set
 }
 
+// Claims names the daemons that keep the claims of keyed calls. It must be the
+// same in all daemons. Without keepers, no claims are kept.
+type Claims struct {
+	Keepers  []string      // Their control addresses, in the same order everywhere.
+	Lifetime time.Duration // How long a key is remembered: 1 h.
+	First    bool          // Nothing has ever been claimed from these keepers.
+}
+
+const defaultLifetime = time.Hour
+
 const defaultLinger = 3 * time.Second
 
 func (c Config) withDefaults() Config {
 	if c.Linger == 0 {
 		c.Linger = defaultLinger
 	}
+	if c.Claims.Lifetime == 0 {
+		c.Claims.Lifetime = defaultLifetime
+	}
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/endivewalk/endivewalk/internal/caller"
+	"github.com/endivewalk/endivewalk/internal/claim"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/evidence"
@@ -25,7 +26,8 @@
 	config   Config
 	hub      *feed.Hub
 	child    *feed.Child
-	floors   *floor.Store // Of the daemons that this one is a keeper of.
+	claims   *claim.Keeper // Nil if this daemon keeps none.
+	floors   *floor.Store  // Of the daemons that this one is a keeper of.
 	gate     *upstream.Gate
 	entry    *caller.Entry
 	evidence *evidence.Counter
@@ -55,6 +57,7 @@
 	d := &Daemon{config: c, stop: make(chan struct{})}
 	incarnation := uint64(now.UnixMilli())
 	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters})
+	d.newKeeper()
 	d.floors = floor.NewStore(d.hub.Instance())
 	d.evidence = evidence.NewCounter(c.Host, incarnation)
 	d.charges = newCharges()
@@ -69,7 +72,7 @@
 	d.entry = caller.New(caller.Config{
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Draw: c.Draw, Ready: d.hub.Ready,
 		Hub: d.hub, Gate: d.gate, Evidence: d.evidence, Counters: c.Counters,
-		Charge: d.charge, Braked: d.brakes.braked,
+		Charge: d.charge, Braked: d.brakes.braked, Claims: d.newTaker(incarnation),
 	})
 	if err := d.listen(); err != nil {
 		d.closeServers()
@@ -101,6 +104,11 @@
 	if err := server.Register("Floor", d.floors); err != nil {
 		return errs.New("daemon: %v", err)
 	}
+	if d.claims != nil {
+		if err := server.Register("Claims", d.claims); err != nil {
+			return errs.New("daemon: %v", err)
+		}
+	}
 	if err := server.Register("Watch", &watchService{daemon: d}); err != nil {
 		return errs.New("daemon: %v", err)
 	}
@@ -129,7 +137,7 @@
 func (d *Daemon) startDuties() {
 	for _, duty := range []func(){
 		d.server.Serve, d.child.RunFloor, d.child.RunKeepers, d.child.RunPull, d.child.RunSecond, d.child.RunReport,
-		d.runHousekeeping, d.runWatch, d.runBrakes,
+		d.runHousekeeping, d.runWatch, d.runBrakes, d.runClaims,
 	} {
 		d.duties.Add(1)
 		go func() {
--- a/internal/feed/floor.go
+++ b/internal/feed/floor.go
@@ -46,7 +46,7 @@
 func (c *Child) askSources() (config.Revision, bool) {
 	for _, address := range directory.PreferSources(c.config.Sources, c.config.Host, c.config.Zone) {
 		var reply LatestReply
-		if c.call(address, "Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout) == nil {
+		if c.Call(address, "Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout) == nil {
 			return reply.Revision, true
 		}
 	}
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -63,7 +63,7 @@
 // NewChild returns a child that keeps hub up to date.
 func NewChild(c ChildConfig, hub *Hub) *Child {
 	child := &Child{config: c, hub: hub, clients: map[string]*peer.Client{}, stop: make(chan struct{})}
-	child.floor = floor.NewProver(floor.Config{Host: c.Host, Keepers: c.Floor.Keepers, Call: child.call})
+	child.floor = floor.NewProver(floor.Config{Host: c.Host, Keepers: c.Floor.Keepers, Call: child.Call})
 	return child
 }
 
@@ -101,7 +101,9 @@
 	return one
 }
 
-func (c *Child) call(address, method string, args, reply any, timeout time.Duration) error {
+// Call calls a method of the process at an address, over the connection that
+// the child keeps to it.
+func (c *Child) Call(address, method string, args, reply any, timeout time.Duration) error {
 	return c.client(address).Call(method, args, reply, timeout)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,7 @@
 	Shape    directory.Shape
 	Policy   move.Policy
 	Keepers  []string      // Hosts of daemons that remember the others' floors.
+	Claims   []string      // Hosts of daemons that keep the claims of keyed calls.
 	Linger   time.Duration // Of leaving daemons; 0 means 300 ms.
 	Timing   source.Timing
 	Dial     func(from string) peer.Dial // How a process opens connections; nil means TCP.
@@ -67,7 +68,8 @@
 	random   *rand.Rand
 	replicas []*Replica
 	daemons  map[string]*daemon.Daemon
-	peers    map[string]string // The control address of each host's daemon.
+	places   map[string]daemon.Addresses // Of each host's daemon.
+	started  map[string]bool             // Hosts whose daemons have run before.
 	standins map[string]*standin.Standin
 }
 
@@ -84,7 +86,7 @@
 	}
 	f := &Fleet{
 		config: c, ip: FreeIP(), random: rand.New(rand.NewPCG(c.Seed, c.Seed)),
-		daemons: map[string]*daemon.Daemon{}, peers: map[string]string{}, standins: map[string]*standin.Standin{},
+		daemons: map[string]*daemon.Daemon{}, places: map[string]daemon.Addresses{}, started: map[string]bool{}, standins: map[string]*standin.Standin{},
 	}
 	members, operators, err := f.allocate()
 	if err != nil {
@@ -265,54 +267,61 @@
 	return all
 }
 
-// peerAddress returns the control address of a host's daemon, which stays the
-// same over restarts.
-func (f *Fleet) peerAddress(host string) (string, error) {
+// Place returns the addresses of a host's daemon, which stay the same over
+// restarts.
+func (f *Fleet) Place(host string) (daemon.Addresses, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.peers[host] == "" {
-		addresses, err := FreeAddresses(f.ip, 1)
+	if f.places[host].Peer == "" {
+		a, err := FreeAddresses(f.ip, 4)
 		if err != nil {
-			return "", err
+			return daemon.Addresses{}, err
 		}
-		f.peers[host] = addresses[0]
+		f.places[host] = daemon.Addresses{Caller: a[0], Gate: a[1], Peer: a[2], Local: a[3]}
 	}
-	return f.peers[host], nil
+	return f.places[host], nil
 }
 
-// keepersOf returns the control addresses of a host's keepers.
-func (f *Fleet) keepersOf(host string) ([]string, error) {
+// peersOf returns the control addresses of some hosts' daemons.
+func (f *Fleet) peersOf(hosts []string, not string) ([]string, error) {
 	var all []string
-	for _, keeper := range f.config.Keepers {
-		if keeper == host {
+	for _, keeper := range hosts {
+		if keeper == not {
 			continue
 		}
-		address, err := f.peerAddress(keeper)
+		place, err := f.Place(keeper)
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, address)
+		all = append(all, place.Peer)
 	}
 	return all, nil
 }
 
-// StartDaemon starts a daemon in a data centre. Its control address is that of
-// the host's earlier daemons; the others are free ones.
+// StartDaemon starts a daemon in a data centre, on the addresses of the host's
+// earlier daemons if there were any.
 func (f *Fleet) StartDaemon(host, zone string) (*daemon.Daemon, error) {
-	any := f.ip + ":0"
-	own, err := f.peerAddress(host)
+	f.mutex.Lock()
+	first := !f.started[host]
+	f.started[host] = true
+	f.mutex.Unlock()
+	own, err := f.Place(host)
+	if err != nil {
+		return nil, err
+	}
+	keepers, err := f.peersOf(f.config.Keepers, host)
 	if err != nil {
 		return nil, err
 	}
-	keepers, err := f.keepersOf(host)
+	claims, err := f.peersOf(f.config.Claims, "")
 	if err != nil {
 		return nil, err
 	}
 	d, err := daemon.Start(daemon.Config{
 		Host: host, Zone: zone, Sources: f.SourceAddresses(), Shape: f.config.Shape,
-		Keepers: keepers,
-		Listen:  daemon.Addresses{Caller: any, Gate: any, Peer: own, Local: any},
-		Linger:  f.config.Linger, Policy: f.config.Policy, Draw: f.draw(), Dial: f.dial(host),
+		Keepers: keepers, Claims: daemon.Claims{Keepers: claims, First: first},
+		Listen: own,
+		Linger: f.config.Linger, Policy: f.config.Policy, Draw: f.draw(), Dial: f.dial(host),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,10 +59,18 @@
 	Local   string          `json:"local" jsonc:"required"`
 	Sources []string        `json:"sources" jsonc:"required"` // Their peer addresses.
 	Keepers []string        `json:"keepers"`                  // Peer addresses of daemons that remember this one's floor.
+	Claims  Claims          `json:"claims"`
 	Linger  config.Duration `json:"linger"`
 	Tree    Tree            `json:"tree"`
 }
 
+// Claims names the daemons that keep the claims of keyed calls, which must be
+// the same in the settings of all daemons.
+type Claims struct {
+	Keepers  []string        `json:"keepers"` // Peer addresses, in the same order everywhere.
+	Lifetime config.Duration `json:"lifetime"`
+}
+
 // Tree holds the shape of the tree by which configuration reaches daemons.
 type Tree struct {
 	Relays int `json:"relays"`
@@ -193,7 +201,8 @@
 	for i, a := range d.Sources {
 		checkAddress(f, "sources["+strconv.Itoa(i)+"]", a)
 	}
-	d.checkKeepers(f)
+	checkKeepers(f, "keepers", d.Keepers, d.Peer)
+	d.Claims.check(f)
 	if d.Linger > lingerMost {
 		f.Report("linger", "want at most %v", lingerMost)
 	}
@@ -202,23 +211,33 @@
 	}
 }
 
-// checkKeepers wants an odd number of other daemons: an even one can lose no
-// more of them than one less.
-func (d *Daemon) checkKeepers(f *jsonc.File) {
-	if n := len(d.Keepers); n != 0 && n != 3 && n != 5 {
-		f.Report("keepers", "want none, 3 or 5 daemons, got %d", n)
+// checkKeepers checks a list of daemons of which most must answer. An even
+// number could lose no more of them than one less.
+func checkKeepers(f *jsonc.File, path string, keepers []string, not string) {
+	if n := len(keepers); n != 0 && n != 3 && n != 5 {
+		f.Report(path, "want none, 3 or 5 daemons, got %d", n)
 	}
-	seen := map[string]bool{d.Peer: true}
-	for i, a := range d.Keepers {
-		path := "keepers[" + strconv.Itoa(i) + "]"
-		checkAddress(f, path, a)
+	seen := map[string]bool{not: true}
+	for i, a := range keepers {
+		at := path + "[" + strconv.Itoa(i) + "]"
+		checkAddress(f, at, a)
 		if seen[a] {
-			f.Report(path, "%s stands twice, or is this daemon", a)
+			f.Report(at, "%s stands twice, or is this daemon", a)
 		}
 		seen[a] = true
 	}
 }
 
+func (c Claims) check(f *jsonc.File) {
+	checkKeepers(f, "claims.keepers", c.Keepers, "")
+	if c.Lifetime != 0 && c.Lifetime < lifetimeLeast {
+		f.Report("claims.lifetime", "want at least %v", lifetimeLeast)
+	}
+}
+
+// lifetimeLeast is far longer than any call takes.
+const lifetimeLeast = config.Duration(time.Minute)
+
 func checkName(f *jsonc.File, path, name string) {
 	if !config.ValidName(name) {
 		f.Report(path, "%q is no valid name: want lower case letters, digits and inner hyphens", name)
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -31,9 +31,9 @@
 	Key      string
 	Repeat   bool // Whether the call may be run more than once.
 	Deadline time.Time
-	// Last is asked right before the call is sent, and may refuse it. It may
-	// be nil.
-	Last func() *call.Refusal
+	// Until is when a keyed call must not be run any more, whatever it has
+	// waited for. The zero value is never.
+	Until time.Time
 }
 
 // Answer is an upstream's answer. The reader must read Body to its end or
@@ -90,14 +90,8 @@
 // run sends the call. The slot is held until the answer's body ends.
 func (g *Gate) run(ctx context.Context, e *entry, c Call) (*Answer, error) {
 	start := g.config.Clock()
-	if c.Last != nil {
-		if refusal := c.Last(); refusal != nil {
-			e.lane.leave(start, 0, true)
-			return nil, refusal
-		}
-	}
 	// A process that was frozen while the call waited must not run it late.
-	if !start.Before(c.Deadline) {
+	if !start.Before(c.Deadline) || (!c.Until.IsZero() && !start.Before(c.Until)) {
 		e.lane.leave(start, 0, true)
 		return nil, call.Refuse(call.ReasonDeadline)
 	}
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -32,12 +32,17 @@
 	if err != nil || micros <= 0 || id == "" {
 		return Call{}, call.Refuse(call.ReasonBadCall)
 	}
+	until, err := call.ParseUntil(r.Header)
+	if err != nil {
+		return Call{}, call.Refuse(call.ReasonBadCall)
+	}
 	budget := time.Duration(micros) * time.Microsecond
 	return Call{
 		Upstream: id, Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Length: r.ContentLength,
 		Key:      r.Header.Get(call.HeaderInnerKey),
 		Repeat:   r.Header.Get(call.HeaderRepeat) == "safe",
 		Deadline: g.config.Clock().Add(budget),
+		Until:    until,
 	}, nil
 }
 
