--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,6 +210,33 @@
 	require.Equal(t, "booked", string(first.Body))
 }
 
+// What one other keeper knows is not enough: the claim may be known to the one
+// that can't be reached.
+func TestOneKeeperTeachesTooLittle(t *testing.T) {
+	g := newGroup()
+	g.cut(true, "c")
+	held, _, _ := g.take(g.taker(), 1)
+	require.NotNil(t, held)
+	a := g.start("a", false)
+	g.cut(false, "c")
+	g.cut(true, "b")
+	stop := make(chan struct{})
+	var asked atomic.Int64
+	var group sync.WaitGroup
+	group.Go(func() {
+		a.Learn(g.names, "a", func(address, method string, args, reply any, timeout time.Duration) error {
+			if address == "b" {
+				asked.Add(1)
+			}
+			return g.call(address, method, args, reply, timeout)
+		}, stop)
+	})
+	eventually(t, "a second round", func() bool { return asked.Load() >= 2 || a.Complete() })
+	require.False(t, a.Complete())
+	close(stop)
+	group.Wait()
+}
+
 // Two of three keepers that start anew can't learn the claims. They wait until
 // all of them have run out.
 func TestForgottenClaimsRunOut(t *testing.T) {
@@ -220,7 +248,7 @@
 	g.cut(true, "c")
 	_, _, refusal := g.take(g.taker(), 1)
 	require.NotNil(t, refusal)
-	g.pass(lifetime)
+	g.pass(lifetime + lifetime/20)
 	require.False(t, a.Complete(), "clocks drift")
 	g.pass(lifetime / 5)
 	require.True(t, a.Complete() && b.Complete())
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -79,6 +79,8 @@
 	clock func() time.Time
 	mutex sync.Mutex
 	book  *Book
+	// verdicts counts the answers to attempts.
+	verdicts [VerdictTaken + 1]int64
 }
 
 // NewKeeper returns a keeper that starts now. It is complete at once if nothing
@@ -102,6 +104,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	reply.Verdict, reply.Claim = k.book.Take(k.clock(), args.Key, args.Attempt, args.Digest)
+	k.verdicts[reply.Verdict]++
 	return nil
 }
 
@@ -151,6 +154,13 @@
 	return nil
 }
 
+// Verdicts returns how many attempts have got a verdict.
+func (k *Keeper) Verdicts(v Verdict) int64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.verdicts[v]
+}
+
 // Len returns how many claims are kept.
 func (k *Keeper) Len() int {
 	k.mutex.Lock()
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -31,5 +31,18 @@
 	}
 }
 
+// publishClaims shows how the keeper does.
+func (d *Daemon) publishClaims() {
+	if d.claims == nil {
+		return
+	}
+	c := d.config.Counters
+	c.Gauge("claims_kept", func() any { return d.claims.Len() })
+	c.Gauge("claims_complete", func() any { return d.claims.Complete() })
+	c.Gauge("claims_granted", func() any { return d.claims.Verdicts(claim.VerdictGranted) })
+	c.Gauge("claims_taken", func() any { return d.claims.Verdicts(claim.VerdictTaken) })
+	c.Gauge("claims_abstained", func() any { return d.claims.Verdicts(claim.VerdictAbstain) })
+}
+
 // KeepsClaims reports whether this daemon grants claims of keyed calls.
 func (d *Daemon) KeepsClaims() bool { return d.claims != nil && d.claims.Complete() }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,6 +152,7 @@
 	c.Gauge("control_bytes_sent", func() any { return d.traffic.Sent() })
 	c.Gauge("control_bytes_received", func() any { return d.traffic.Received() })
 	c.Gauge("revision", func() any { return d.hub.State().Revision() })
+	d.publishClaims()
 	c.Gauge("floors_kept", func() any { return d.floors.Hosts() })
 	c.Gauge("ready", func() any { return d.hub.Ready() })
 }
--- a/internal/processtest/processes.go
+++ b/internal/processtest/processes.go
@@ -58,6 +58,7 @@
 	caller  map[string]string
 	peer    map[string]string
 	places  map[string][]string // The addresses of each daemon.
+	claims  []string            // Daemons that keep the claims of keyed calls.
 	keepers []string            // Daemons that remember the others' floors.
 	others  []*Process
 }
@@ -152,6 +153,10 @@
 // and those of all others.
 func (g *Group) KeepFloors(daemons ...string) { g.keepers = daemons }
 
+// KeepClaims makes daemons that are started later keep the claims of keyed
+// calls.
+func (g *Group) KeepClaims(daemons ...string) { g.claims = daemons }
+
 // place returns the addresses of a daemon, which stay the same over restarts.
 func (g *Group) place(name string) []string {
 	if g.places[name] == nil {
@@ -175,6 +180,14 @@
 	return keepers
 }
 
+func (g *Group) claimKeepers() []string {
+	keepers := []string{}
+	for _, keeper := range g.claims {
+		keepers = append(keepers, g.place(keeper)[2])
+	}
+	return keepers
+}
+
 // StartDaemon starts a daemon, on the addresses that it had before if it ran
 // before.
 func (g *Group) StartDaemon(name, zone string) *Process {
@@ -184,9 +197,12 @@
 		path := g.write(name+".jsonc", map[string]any{
 			"name": name, "zone": zone, "caller": a[0], "gate": a[1], "peer": a[2], "local": a[3],
 			"sources": g.peers, "keepers": g.keepersOf(name), "linger": "500ms",
+			"claims": map[string]any{"keepers": g.claimKeepers()},
 		})
 		p = &Process{Name: name, args: []string{"daemon", "--settings", path}}
 		g.daemons[name], g.local[name], g.caller[name], g.peer[name] = p, a[3], a[0], a[2]
+		g.start(p, "--first-claims")
+		return p
 	}
 	g.start(p)
 	return p
