--- a/internal/fleet/measure_test.go
+++ b/internal/fleet/measure_test.go
@@ -30,8 +30,9 @@
 // everyDaemon makes each daemon pull from the source itself, the baseline.
 const everyDaemon = 1 << 20
 
-func benchFleet(b *testing.B, daemons int, shape directory.Shape) *fleet.Fleet {
-	f, err := fleet.Start(fleet.Config{Folder: b.TempDir(), Shape: shape})
+func benchFleet(b *testing.B, daemons int, c fleet.Config) *fleet.Fleet {
+	c.Folder = b.TempDir()
+	f, err := fleet.Start(c)
 	require.NoError(b, err)
 	b.Cleanup(f.Stop)
 	for i := range daemons {
@@ -88,7 +89,7 @@
 	for _, size := range []int{8, 32, 128, 256} {
 		for name, shape := range map[string]directory.Shape{"tree": {}, "baseline": {Relays: everyDaemon}} {
 			b.Run(fmt.Sprintf("%s/daemons=%d", name, size), func(b *testing.B) {
-				f := benchFleet(b, size, shape)
+				f := benchFleet(b, size, fleet.Config{Shape: shape})
 				for b.Loop() {
 					measureConvergence(b, f, size)
 				}
@@ -97,6 +98,19 @@
 	}
 }
 
+// BenchmarkFloors measures the same with daemons that have keepers note each
+// revision before it is in force.
+func BenchmarkFloors(b *testing.B) {
+	for _, size := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("daemons=%d", size), func(b *testing.B) {
+			f := benchFleet(b, size, fleet.Config{Keepers: keepers})
+			for b.Loop() {
+				measureConvergence(b, f, size)
+			}
+		})
+	}
+}
+
 func measureConvergence(b *testing.B, f *fleet.Fleet, size int) {
 	const idle = 4 * time.Second
 	time.Sleep(time.Second)
@@ -169,7 +183,7 @@
 func BenchmarkHerd(b *testing.B) {
 	for _, size := range []int{32, 128} {
 		b.Run(fmt.Sprintf("daemons=%d", size), func(b *testing.B) {
-			f := benchFleet(b, size, directory.Shape{})
+			f := benchFleet(b, size, fleet.Config{})
 			for b.Loop() {
 				var group sync.WaitGroup
 				for i := range size / 2 {
@@ -251,7 +265,7 @@
 // BenchmarkLeaderLoss measures how long no change is accepted after the leader
 // stops.
 func BenchmarkLeaderLoss(b *testing.B) {
-	f := benchFleet(b, 3, directory.Shape{})
+	f := benchFleet(b, 3, fleet.Config{})
 	var took []float64
 	for b.Loop() {
 		for range 5 {
@@ -275,7 +289,7 @@
 // BenchmarkAddedLatency calls a worker in turn directly and through two
 // daemons, and reports the difference at the median and for 99 in 100.
 func BenchmarkAddedLatency(b *testing.B) {
-	f := benchFleet(b, 2, directory.Shape{})
+	f := benchFleet(b, 2, fleet.Config{})
 	s, err := f.StartStandin("d0", standin.Config{ID: "w", Service: "availability", Version: "v1", Slots: 64, Connections: 110})
 	require.NoError(b, err)
 	require.True(b, fleet.Wait(context.Background(), patience, func() bool {
@@ -338,7 +352,7 @@
 	}
 	for b.Loop() {
 		before := heap()
-		f := benchFleet(b, 64, directory.Shape{})
+		f := benchFleet(b, 64, fleet.Config{})
 		b.ReportMetric((heap()-before)/64/1024, "KiB/daemon")
 		f.Stop()
 	}
