The last gate that leaves is used until it is closed

Cause: entries passed over every daemon that leaves, also if it had the last upstream of a service. Its gate could still serve; calls were refused as no-upstream for the time of the linger.

Change: upstreams beside leaving daemons are the last resort. A stand-in can be killed after it has left.

Shown: TestLastGateThatLeaves, seen to fail without the last resort; the other tests of leaving passed.

--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -14,32 +14,46 @@
 // View is the directory as calls need it. It is immutable.
 type View struct {
 	live     []directory.Record
-	services map[string]map[string][]Target // By service and version.
+	services targets // Of daemons that stay.
+	leaving  targets
 }
 
+// targets holds upstreams by service and version.
+type targets map[string]map[string][]Target
+
 func newView(live []directory.Record) *View {
-	v := &View{live: live, services: map[string]map[string][]Target{}}
+	v := &View{live: live, services: targets{}, leaving: targets{}}
 	for _, r := range live {
 		if r.Leaving {
-			continue
-		}
-		for _, u := range r.Upstreams {
-			if v.services[u.Service] == nil {
-				v.services[u.Service] = map[string][]Target{}
-			}
-			t := Target{Upstream: u, Host: r.Host, Incarnation: r.Incarnation, Zone: r.Zone, Gate: r.Gate}
-			v.services[u.Service][u.Version] = append(v.services[u.Service][u.Version], t)
+			v.leaving.add(r)
+		} else {
+			v.services.add(r)
 		}
 	}
 	return v
 }
 
+func (s targets) add(r directory.Record) {
+	for _, u := range r.Upstreams {
+		if s[u.Service] == nil {
+			s[u.Service] = map[string][]Target{}
+		}
+		t := Target{Upstream: u, Host: r.Host, Incarnation: r.Incarnation, Zone: r.Zone, Gate: r.Gate}
+		s[u.Service][u.Version] = append(s[u.Service][u.Version], t)
+	}
+}
+
 // Live returns the records of all daemons that are not gone, by host.
 func (v *View) Live() []directory.Record { return v.live }
 
-// Targets returns the upstreams of a version of a service, by host.
+// Targets returns the upstreams of a version of a service, by host. Those beside
+// daemons that leave are returned only if there are no others: their gates take
+// calls until they are closed.
 func (v *View) Targets(service, version string) []Target {
-	return v.services[service][version]
+	if staying := v.services[service][version]; len(staying) > 0 {
+		return staying
+	}
+	return v.leaving[service][version]
 }
 
 // Versions returns the upstreams of a service by version.
--- a/internal/fleet/leave_test.go
+++ b/internal/fleet/leave_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,3 +42,28 @@
 		f.Stop()
 	}
 }
+
+// TestLastGateThatLeaves has the only daemon with an upstream of a service
+// leave. Its gate serves calls until it is closed.
+func TestLastGateThatLeaves(t *testing.T) {
+	t.Parallel()
+	f := mesh(t, fleet.Config{Linger: 2 * time.Second}, 0)
+	for _, host := range []string{"d0", "d1"} {
+		require.NoError(t, f.Standin("booking-"+host+"-v1").Leave(context.Background()))
+	}
+	eventually(t, "a single upstream", func() bool { return len(f.Daemon("d0").Hub().View().Targets("booking", "v1")) == 1 })
+	leaving := f.Daemon("d2")
+	var group sync.WaitGroup
+	group.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		require.NoError(t, leaving.Leave(ctx))
+	})
+	eventually(t, "the word that it leaves", func() bool {
+		r, ok := f.Daemon("d0").Hub().Record("d2")
+		return ok && r.Leaving
+	})
+	a := newCaller(t).call(f.Daemon("d0").Addresses().Caller, http.MethodPost, "/internal/bookings", "last", strings.NewReader("deposit"), nil)
+	require.Equal(t, http.StatusOK, a.status, "%v", a)
+	group.Wait()
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -93,6 +93,7 @@
 	drained bool
 	stop    chan struct{}
 	duties  sync.WaitGroup
+	ending  sync.Once
 }
 
 // report is what the health and load endpoints told at a time.
@@ -158,7 +159,7 @@
 
 // Kill stops at once, without taking leave.
 func (s *Standin) Kill() {
-	close(s.stop)
+	s.ending.Do(func() { close(s.stop) })
 	s.server.Close()
 	s.duties.Wait()
 }
@@ -170,7 +171,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	s.request(http.MethodDelete, "/v1/upstreams/"+s.config.ID, nil)
-	close(s.stop)
+	s.ending.Do(func() { close(s.stop) })
 	err := s.server.Shutdown(ctx)
 	s.duties.Wait()
 	return err
