--- a/internal/floor/floor_test.go
+++ b/internal/floor/floor_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,6 +109,30 @@
 	}
 }
 
+// Each keeper is told of a revision once, whatever the others answer.
+func TestKeepersAreToldOnce(t *testing.T) {
+	k := newKeepers()
+	var notes atomic.Int64
+	p := floor.NewProver(floor.Config{Host: "d", Keepers: []string{"a", "b", "c"}, Call: func(address, method string, args, reply any, timeout time.Duration) error {
+		notes.Add(1)
+		return k.call(address, method, args, reply, timeout)
+	}})
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range 3 {
+		group.Go(func() { p.Run(i, stop) })
+	}
+	const revisions = 100
+	for r := range config.Revision(revisions) {
+		require.True(t, p.Prove(r+1, patience, nil))
+	}
+	close(stop)
+	group.Wait()
+	// Each of three is told of each revision, and met once. A few refreshes may
+	// come in between on a slow machine.
+	require.Less(t, notes.Load(), int64(3*revisions+30))
+}
+
 func TestMinorityProvesNothing(t *testing.T) {
 	k := newKeepers()
 	p, end := k.prover()
--- a/internal/floor/prover.go
+++ b/internal/floor/prover.go
@@ -97,41 +97,48 @@
 // Run keeps one keeper informed until stop is closed.
 func (p *Prover) Run(keeper int, stop <-chan struct{}) {
 	instance := uint64(0)
+	refresh := time.NewTimer(refreshEvery)
+	defer refresh.Stop()
+	due := false
 	for {
 		wanted, noted, wake := p.state(keeper)
-		pause := refreshEvery
-		if wanted > 0 {
+		if wanted > noted || (wanted > 0 && due) {
 			now, taken, err := p.note(keeper, instance, wanted)
 			switch {
 			case err != nil:
-				pause = retryPause
-				wake = nil // It is not asked sooner for what is new.
+				if !pause(retryPause, stop) {
+					return
+				}
 			case !taken:
 				instance = now // It has begun another life.
 				p.setNoted(keeper, 0)
-				continue
-			case wanted > noted:
+			default:
 				p.setNoted(keeper, wanted)
-				continue // Perhaps there is something newer by now.
+				due = false
+				refresh.Reset(refreshEvery)
 			}
+			continue // Perhaps there is something newer by now.
 		}
-		if !rest(pause, wake, stop) {
+		select {
+		case <-stop:
 			return
+		case <-wake:
+		case <-refresh.C:
+			due = true
+			refresh.Reset(refreshEvery)
 		}
 	}
 }
 
-// rest waits for a while, or for wake. It returns false if stop is closed.
-func rest(pause time.Duration, wake, stop <-chan struct{}) bool {
-	timer := time.NewTimer(pause)
+func pause(span time.Duration, stop <-chan struct{}) bool {
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-stop:
 		return false
-	case <-wake:
 	case <-timer.C:
+		return true
 	}
-	return true
 }
 
 func (p *Prover) state(keeper int) (wanted, noted config.Revision, wake <-chan struct{}) {
