--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -140,6 +140,27 @@
 	require.Equal(t, entries(1, 1, 4), start.Entries)
 }
 
+// A short frame after a long one that had no room: nothing of the long one is
+// left behind it.
+func TestFullDiskLeavesNoRest(t *testing.T) {
+	c := create(t)
+	full := false
+	c.Write = func(f *os.File, p []byte) (int, error) {
+		if !full {
+			return f.Write(p)
+		}
+		n, _ := f.Write(p[:len(p)-1])
+		return n, syscall.ENOSPC
+	}
+	s, _ := open(t, c)
+	full = true
+	require.ErrorIs(t, s.Save(quorum.Output{Append: entries(1, 1, 40)}), disk.ErrFull)
+	full = false
+	require.NoError(t, s.Save(quorum.Output{Append: entries(1, 1, 1)}))
+	_, start := open(t, c)
+	require.Equal(t, entries(1, 1, 1), start.Entries)
+}
+
 func TestFailedSyncIsFinal(t *testing.T) {
 	c := create(t)
 	s, _ := open(t, c)
