A keyed call refused before its claim was asked for is unknown

A caller's net/http sends a request with an Idempotency-Key again by itself when a kept-alive connection breaks. The first sending had run at a daemon that was killed; the second met the new one, which was not ready and said 'not'.

Ruled out: a second run (none was seen); a fault of the test, since a resend is promised the first answer or 'unknown'.

Change: where claims are kept, refusals of keyed calls before the claim is asked for say 'unknown'. TestKeyedResendAtADaemonThatIsNotReady, seen to fail without.

After: the keyed tests of fleets passed twice with -race.

Conclusion: 'not' is said only by whoever can know it.

--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -91,7 +91,7 @@
 	e.config.Counters.Add("calls", 1)
 	c, refusal := e.admit(r)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.refuse(w, e.unproved(r, refusal))
 		return
 	}
 	defer c.body.release()
@@ -108,6 +108,16 @@
 	passOn(w, answer)
 }
 
+// unproved returns a refusal of a call whose claim has not been asked for. With
+// a key the call may be a resend of one that ran, also by the caller's client
+// library on its own account, so that "not run" would be too much said.
+func (e *Entry) unproved(r *http.Request, refusal *call.Refusal) *call.Refusal {
+	if e.config.Claims == nil || r.Header.Get(call.HeaderKey) == "" {
+		return refusal
+	}
+	return call.Unknown(refusal.Reason)
+}
+
 func (e *Entry) refuse(w http.ResponseWriter, r *call.Refusal) {
 	e.config.Counters.Add("calls_refused_"+string(r.Reason), 1)
 	outside := *r
--- a/internal/fleet/claim_test.go
+++ b/internal/fleet/claim_test.go
@@ -45,6 +45,23 @@
 	require.Zero(t, runs(f)["five"])
 }
 
+// A resend at a daemon that can't ask for claims yet must not be told that the
+// booking did not run: it did, elsewhere.
+func TestKeyedResendAtADaemonThatIsNotReady(t *testing.T) {
+	t.Parallel()
+	f := mesh(t, fleet.Config{Claims: claimKeepers}, 0)
+	c := newCaller(t)
+	book := func(host, id string) answer {
+		return c.call(f.Daemon(host).Addresses().Caller, http.MethodPost, "/internal/bookings", id, strings.NewReader("deposit"), keyed("k1"))
+	}
+	require.Equal(t, http.StatusOK, book("d0", "one").status)
+	stopSource(f)
+	restart(t, f, "d1")
+	again := book("d1", "two")
+	require.Equal(t, call.ReasonNotReady, again.reason)
+	require.Equal(t, call.RunUnknown, again.run)
+}
+
 // TestKeyedResendsUnderFaults has callers send bookings again and again, at any
 // daemon, until they get an answer, while upstreams fail, are slow and are
 // killed, and daemons crash and restart. No key ever runs twice, and all
