Source: a change forwarded to a frozen leader is not waited for

Cause: a replica that forwards a change waited up to 2 s for the answer of a leader that is frozen, though it had another leader after 0.4 s.

Ruled out: a shorter time-out, which gives up on slow disks too.

Change: the wait ends when the replica takes another one, or none, for the leader; the change is then sent to the new one, and its request id keeps it from being made twice. The same for confirmed reads.

--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -27,6 +27,9 @@
 	leader  atomic.Value // A member name, or "".
 	stop    chan struct{}
 	duties  sync.WaitGroup
+
+	leaderMutex  sync.Mutex
+	leaderChange chan struct{} // Closed when leader changes.
 }
 
 const outboxRing = 1024
@@ -34,7 +37,7 @@
 // Start opens the data folder and begins to serve.
 func Start(c Config) (*Node, error) {
 	c = c.withDefaults()
-	n := &Node{config: c, clients: map[string]*peer.Client{}, outbox: map[string]*ring.Ring[quorum.Message]{}, stop: make(chan struct{})}
+	n := &Node{config: c, clients: map[string]*peer.Client{}, outbox: map[string]*ring.Ring[quorum.Message]{}, stop: make(chan struct{}), leaderChange: make(chan struct{})}
 	n.leader.Store("")
 	for _, m := range c.Members {
 		if m.Name != c.Name {
@@ -138,7 +141,37 @@
 // IsLeader reports whether this replica believes that it leads.
 func (n *Node) IsLeader() bool { return n.Leader() == n.config.Name }
 
-func (n *Node) setLeader(name string) { n.leader.Store(name) }
+func (n *Node) setLeader(name string) {
+	n.leaderMutex.Lock()
+	defer n.leaderMutex.Unlock()
+	if n.Leader() == name {
+		return
+	}
+	n.leader.Store(name)
+	close(n.leaderChange)
+	n.leaderChange = make(chan struct{})
+}
+
+// leaderNow returns the leader and a channel that is closed when there is
+// another one, or none.
+func (n *Node) leaderNow() (string, <-chan struct{}) {
+	n.leaderMutex.Lock()
+	defer n.leaderMutex.Unlock()
+	return n.Leader(), n.leaderChange
+}
+
+// ask calls the leader. It gives up as soon as this replica no longer takes the
+// other one for the leader, which may be frozen and never answer.
+func (n *Node) ask(client *peer.Client, changed <-chan struct{}, method string, args, reply any) error {
+	done := make(chan error, 1)
+	go func() { done <- client.Call(method, args, reply, proposeTimeout) }()
+	select {
+	case err := <-done:
+		return err
+	case <-changed:
+		return peer.ErrUnknown
+	}
+}
 
 // send hands a message to the duty that calls that member. A full ring sheds;
 // the agreement repeats what matters.
@@ -225,7 +258,7 @@
 }
 
 func (n *Node) proposeOnce(c ledger.Command) (ledger.Outcome, error) {
-	leader := n.Leader()
+	leader, changed := n.leaderNow()
 	if leader == n.config.Name {
 		return n.proposeHere(c)
 	}
@@ -234,7 +267,7 @@
 		return ledger.Outcome{}, ErrNoLeader
 	}
 	var reply ProposeReply
-	if err := client.Call("Source.Propose", ProposeArgs{Command: c}, &reply, proposeTimeout); err != nil {
+	if err := n.ask(client, changed, "Source.Propose", ProposeArgs{Command: c}, &reply); err != nil {
 		return ledger.Outcome{}, err
 	}
 	return reply.Outcome, reply.Code.err()
@@ -260,7 +293,7 @@
 // Latest returns the newest accepted revision, confirmed by a quorum after the
 // call began.
 func (n *Node) Latest() (config.Revision, error) {
-	leader := n.Leader()
+	leader, changed := n.leaderNow()
 	if leader == n.config.Name {
 		return n.latestHere()
 	}
@@ -269,7 +302,7 @@
 		return 0, feed.ErrUnconfirmed
 	}
 	var reply feed.LatestReply
-	err := client.Call("Source.Latest", feed.LatestArgs{Host: n.config.Name}, &reply, proposeTimeout)
+	err := n.ask(client, changed, "Source.Latest", feed.LatestArgs{Host: n.config.Name}, &reply)
 	if err != nil {
 		return 0, feed.ErrUnconfirmed
 	}
