--- a/internal/fleet/load_test.go
+++ b/internal/fleet/load_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -153,3 +154,49 @@
 		b.ReportMetric(0, "ns/op")
 	}
 }
+
+// BenchmarkClaims compares bookings without and with a key, in turn.
+func BenchmarkClaims(b *testing.B) {
+	const bookings = 3000
+	f := benchFleet(b, 3, fleet.Config{Claims: claimKeepers})
+	o, err := config.MakeObject(config.Contract{Team: "services", Limit: "900000000 bench-credits"})
+	require.NoError(b, err)
+	benchApply(b, f, "room", o)
+	_, err = f.StartStandin("d0", standin.Config{ID: "w", Service: "booking", Version: "v1", Slots: 64, Connections: 110})
+	require.NoError(b, err)
+	require.True(b, fleet.Wait(context.Background(), patience, func() bool {
+		return len(f.Daemon("d1").Hub().View().Targets("booking", "v1")) == 1 && everywhere(f, 2)
+	}))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	one := func(key string) float64 {
+		r, _ := http.NewRequest(http.MethodPost, "http://"+f.Daemon("d1").Addresses().Caller+"/internal/bookings", strings.NewReader("deposit"))
+		r.Header.Set(call.HeaderTeam, "services")
+		if key != "" {
+			r.Header.Set(call.HeaderKey, key)
+		}
+		begin := time.Now()
+		response, err := client.Do(r)
+		require.NoError(b, err)
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		require.Equal(b, http.StatusOK, response.StatusCode)
+		return time.Since(begin).Seconds() * 1e3
+	}
+	for b.Loop() {
+		var plain, keyed []float64
+		before, _ := traffic(f)
+		for i := range bookings {
+			plain, keyed = append(plain, one("")), append(keyed, one(fmt.Sprintf("k%d", i)))
+		}
+		after, _ := traffic(f)
+		slices.Sort(plain)
+		slices.Sort(keyed)
+		for name, q := range map[string]float64{"p50": 0.5, "p99": 0.99} {
+			at := int(q * (bookings - 1))
+			b.ReportMetric(plain[at], "ms-plain-"+name)
+			b.ReportMetric(keyed[at], "ms-keyed-"+name)
+		}
+		b.ReportMetric(float64(after-before)/bookings, "B/key-all-daemons")
+		b.ReportMetric(0, "ns/op")
+	}
+}
