--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -6,6 +6,8 @@
 
 	"github.com/zeebo/errs"
 	"github.com/zeebo/xxh3"
+
+	"github.com/endivewalk/endivewalk/internal/wait"
 )
 
 // Errors of a keeper that callers test with errors.Is.
@@ -193,7 +195,7 @@
 // three that start at once can't learn from each other; what they granted
 // before has to run out first.
 func (k *Keeper) Learn(keepers []string, own string, call Call, stop <-chan struct{}) {
-	if !rest(learnAfter, stop) {
+	if !wait.For(learnAfter, stop) {
 		return
 	}
 	learned := map[string]bool{}
@@ -209,7 +211,7 @@
 			k.mutex.Unlock()
 			return
 		}
-		if !rest(learnPause, stop) {
+		if !wait.For(learnPause, stop) {
 			return
 		}
 	}
@@ -243,14 +245,3 @@
 		k.mutex.Unlock()
 	}
 }
-
-func rest(pause time.Duration, stop <-chan struct{}) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-stop:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/endivewalk/endivewalk/internal/localhttp"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/upstream"
+	"github.com/endivewalk/endivewalk/internal/wait"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -241,13 +242,4 @@
 	d.config.Events.Add(now, event.Event{Kind: "in-force", Subject: d.config.Host, Revision: r, Text: "has the revision in force"})
 }
 
-func (d *Daemon) pause(t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-d.stop:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func (d *Daemon) pause(t time.Duration) bool { return wait.For(t, d.stop) }
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -10,6 +10,7 @@
 	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/floor"
 	"github.com/endivewalk/endivewalk/internal/peer"
+	"github.com/endivewalk/endivewalk/internal/wait"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -107,16 +108,7 @@
 	return c.client(address).Call(method, args, reply, timeout)
 }
 
-func (c *Child) pause(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.stop:
-		return false
-	case <-t.C:
-		return true
-	}
-}
+func (c *Child) pause(d time.Duration) bool { return wait.For(d, c.stop) }
 
 // RunPull pulls until Stop.
 func (c *Child) RunPull() {
--- a/internal/floor/prover.go
+++ b/internal/floor/prover.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/wait"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -106,7 +107,7 @@
 			now, taken, err := p.note(keeper, instance, wanted)
 			switch {
 			case err != nil:
-				if !pause(retryPause, stop) {
+				if !wait.For(retryPause, stop) {
 					return
 				}
 			case !taken:
@@ -130,17 +131,6 @@
 	}
 }
 
-func pause(span time.Duration, stop <-chan struct{}) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-stop:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (p *Prover) state(keeper int) (wanted, noted config.Revision, wake <-chan struct{}) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -10,6 +10,7 @@
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/quorum"
 	"github.com/endivewalk/endivewalk/internal/ring"
+	"github.com/endivewalk/endivewalk/internal/wait"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -214,16 +215,7 @@
 }
 
 // pause waits for d and returns false if the node stops meanwhile.
-func (n *Node) pause(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-n.stop:
-		return false
-	case <-t.C:
-		return true
-	}
-}
+func (n *Node) pause(d time.Duration) bool { return wait.For(d, n.stop) }
 
 const (
 	proposeTimeout = 2 * time.Second
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -8,6 +8,7 @@
 
 	"github.com/endivewalk/endivewalk/internal/upstream"
 	"github.com/endivewalk/endivewalk/pkg/config"
+	"github.com/endivewalk/endivewalk/internal/wait"
 )
 
 // renewals is how many times in each lease the upstream renews it.
@@ -32,16 +33,7 @@
 	}
 }
 
-func (s *Standin) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-s.stop:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func (s *Standin) pause(d time.Duration) bool { return wait.For(d, s.stop) }
 
 // request asks something of the daemon. A failure is not told: the next
 // renewal tries again.
