--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/upstream"
-	"github.com/endivewalk/endivewalk/pkg/config"
 	"github.com/endivewalk/endivewalk/internal/wait"
+	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 // renewals is how many times in each lease the upstream renews it.
