--- a/cmd/endivewalk/run.go
+++ b/cmd/endivewalk/run.go
@@ -18,6 +18,7 @@
 	"github.com/endivewalk/endivewalk/internal/disk"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/httpapi"
+	"github.com/endivewalk/endivewalk/internal/localhttp"
 	"github.com/endivewalk/endivewalk/internal/operatorhttp"
 	"github.com/endivewalk/endivewalk/internal/settings"
 	"github.com/endivewalk/endivewalk/internal/source"
@@ -139,6 +140,7 @@
 		Claims: daemon.Claims{Keepers: s.Claims.Keepers, Lifetime: time.Duration(s.Claims.Lifetime), First: firstClaims},
 		Linger: time.Duration(s.Linger),
 		Listen: daemon.Addresses{Caller: s.Caller, Gate: s.Gate, Peer: s.Peer, Local: s.Local},
+		Local:  localhttp.ForDaemon,
 		Shape:  directory.Shape{Relays: s.Tree.Relays, Fanout: s.Tree.Fanout},
 		Logger: logger,
 	})
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -26,10 +26,14 @@
 	HeaderLoad     = "Endivewalk-Load"
 	HeaderInnerKey = "Endivewalk-Key" // The caller's key, between daemons.
 	HeaderRoute    = "Endivewalk-Route"
-	HeaderDepth    = "Endivewalk-Depth" // Calls that this one is nested in.
-	HeaderTook     = "Endivewalk-Took"  // Microseconds that the upstream needed.
-	HeaderUntil    = "Endivewalk-Until" // When a keyed call must not be run any more: milliseconds since 1970.
-	HeaderHost     = "Endivewalk-Host"  // The daemon that sends the call.
+	HeaderDepth    = "Endivewalk-Depth"   // Calls that this one is nested in.
+	HeaderTook     = "Endivewalk-Took"    // Microseconds that the upstream needed.
+	HeaderUntil    = "Endivewalk-Until"   // When a keyed call must not be run any more: milliseconds since 1970.
+	HeaderHost     = "Endivewalk-Host"    // The daemon that sends the call.
+	HeaderCaller   = "Endivewalk-Caller"  // The service beside which the call began.
+	HeaderRank     = "Endivewalk-Rank"    // How urgent the call is; see Rank.
+	HeaderAfter    = "Endivewalk-After"   // Microseconds after which a refused caller may find room.
+	HeaderReached  = "Endivewalk-Reached" // The refusal is the upstream's own.
 )
 
 // Run tells whether a call was run by an upstream.
@@ -93,9 +97,11 @@
 // Refusal is an answer of the system's own. It is an error, so that a step of
 // the call path can return it.
 type Refusal struct {
-	Run    Run
-	Reason Reason
-	Load   Load
+	Run     Run
+	Reason  Reason
+	Load    Load
+	After   time.Duration // When there may be room; 0 if not known.
+	Reached bool          // The call reached an upstream, whose word this is.
 }
 
 // Error returns the reason and the outcome.
@@ -126,6 +132,12 @@
 	if r.Load.Limit > 0 {
 		h.Set(HeaderLoad, r.Load.String())
 	}
+	if r.After > 0 {
+		h.Set(HeaderAfter, strconv.FormatInt(r.After.Microseconds(), 10))
+	}
+	if r.Reached {
+		h.Set(HeaderReached, "1")
+	}
 	w.WriteHeader(r.Reason.Status())
 	io.WriteString(w, `{"run":"`+string(r.Run)+`","reason":"`+string(r.Reason)+`"}`+"\n")
 }
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -37,24 +37,26 @@
 	Braked func(m config.Move) bool
 	// Claims asks for the claims of keyed calls that must not be repeated.
 	// Without it, their keys are passed on to the upstream and nothing more.
-	Claims *claim.Taker
+	Claims  *claim.Taker
+	Retries RetryPolicy
+	Balance balance.Config // Zone is filled in.
 }
 
 // Entry routes calls. It is safe for concurrent use. Make one with New.
 type Entry struct {
 	config   Config
 	balancer *balance.Balancer
-	retries  retryBudget
+	retries  retryBudgets
+	splits   splitter
 	gates    gates
 	keptFor  atomic.Pointer[feed.View]
 }
 
 // New returns an entry.
 func New(c Config) *Entry {
-	return &Entry{
-		config:   c,
-		balancer: balance.New(balance.Config{Zone: c.Zone}),
-	}
+	c.Retries = c.Retries.withDefaults()
+	c.Balance.Zone = c.Zone
+	return &Entry{config: c, balancer: balance.New(c.Balance)}
 }
 
 // Close closes the connections to other daemons.
@@ -78,12 +80,16 @@
 type routed struct {
 	request  *http.Request
 	route    *expand.Route
+	service  string
 	state    *feed.State // The configuration that the call began with.
+	began    time.Time
 	deadline time.Time
 	depth    int
 	key      string
 	until    time.Time // When the claim of a keyed call may be forgotten.
 	body     *callBody
+	caller   string // The service beside which the call began.
+	rank     call.Rank
 }
 
 // ServeHTTP answers a call.
@@ -165,7 +171,7 @@
 		return nil, call.Refuse(call.ReasonLimit)
 	}
 	return &routed{
-		request: r, route: route, state: state, deadline: now.Add(timeout),
+		request: r, route: route, service: route.Service(), state: state, began: now, deadline: now.Add(timeout),
 		depth: call.Depth(r.Header), key: r.Header.Get(call.HeaderKey), body: body,
 	}, nil
 }
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -25,9 +25,11 @@
 func (e *Entry) send(c *routed, t feed.Target) (*upstream.Answer, error) {
 	if t.Host == e.config.Host {
 		return e.config.Gate.Do(c.request.Context(), upstream.Call{
-			Upstream: t.ID, Method: c.request.Method, URL: c.request.URL, Header: c.request.Header,
+			Upstream: t.ID, Method: c.request.Method, Host: c.request.Host, URL: c.request.URL, Header: c.request.Header,
 			Body: c.body.open(), Length: c.body.length(), Key: c.key,
 			Repeat: c.route.Repeatable(), Deadline: c.deadline, Until: c.until,
+			Route: c.route.Name(), Caller: c.caller, Nested: c.rank.Nested, Priority: c.rank.Priority,
+			Objective: c.objective(),
 		})
 	}
 	return e.sendAway(c, t)
@@ -93,6 +95,14 @@
 	if c.route.Repeatable() {
 		r.Header.Set(call.HeaderRepeat, "safe")
 	}
+	if byHost(c.route) {
+		rank := c.rank
+		if until := c.objective(); !until.IsZero() {
+			rank.Objective = until.Sub(now)
+		}
+		r.Header.Set(call.HeaderRank, rank.String())
+		r.Header.Set(call.HeaderCaller, c.caller)
+	}
 	return r.WithContext(ctx)
 }
 
@@ -107,7 +117,11 @@
 			Load: load, Took: time.Duration(took) * time.Microsecond,
 		}, nil
 	case call.RunNot:
-		return nil, &call.Refusal{Run: run, Reason: call.Reason(r.Header.Get(call.HeaderReason)), Load: load}
+		after, _ := strconv.ParseInt(r.Header.Get(call.HeaderAfter), 10, 64)
+		return nil, &call.Refusal{
+			Run: run, Reason: call.Reason(r.Header.Get(call.HeaderReason)), Load: load,
+			After: time.Duration(after) * time.Microsecond, Reached: r.Header.Get(call.HeaderReached) != "",
+		}
 	default:
 		return nil, &call.Refusal{Run: call.RunUnknown, Reason: call.ReasonBroken, Load: load}
 	}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -12,49 +12,75 @@
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
-// attemptLimit is how many upstreams a call may be sent to.
-const attemptLimit = 3
+const (
+	// attemptLimit is how many upstreams a call may reach where its route does
+	// not say.
+	attemptLimit = 3
+	// triesMost is how many gates are asked for one call.
+	triesMost = 4
+)
 
 // serve sends a call to upstreams until one answers or no other may be tried.
 func (e *Entry) serve(c *routed) (*upstream.Answer, error) {
-	e.retries.earn()
+	e.retries.earn(c.service, e.config.Retries.Part)
 	version, move := e.pickVersion(c)
 	skip := map[string]bool{}
 	refusal := call.Refuse(call.ReasonNoUpstream)
-	for attempt := 1; ; attempt++ {
+	reached := 0
+	for try := 1; ; try++ {
 		now := e.config.Clock()
 		if !now.Before(c.deadline) {
 			return nil, worse(refusal, call.ReasonDeadline)
 		}
-		target, ok := e.pickTarget(now, c.route.Service(), version, skip)
+		target, ok := e.pickTarget(now, c, version, skip)
 		if !ok {
 			return nil, refusal
 		}
 		skip[target.Host+"/"+target.ID] = true
 		answer, err := e.send(c, target)
+		if err == nil && byHost(c.route) && keepAnswer(answer) != nil {
+			err = call.Unknown(call.ReasonBroken)
+		}
 		e.finish(c, now, target, move, answer, err)
 		if err == nil {
-			if !e.shouldPassOver(c, answer) || attempt == attemptLimit || !e.mayRetry() {
+			reached++
+			if !e.shouldPassOver(c, answer) || reached >= c.attempts() || !e.mayRetry(c) {
 				return answer, nil
 			}
 			answer.Body.Close()
 			continue
 		}
-		refusal = call.AsRefusal(err)
-		if !e.mayRepeat(c, refusal) || attempt == attemptLimit {
+		refusal = earlier(refusal, call.AsRefusal(err))
+		if refusal.Run != call.RunNot || refusal.Reached {
+			reached++
+		}
+		if !e.mayRepeat(c, refusal) || reached >= c.attempts() || try == triesMost {
 			return nil, refusal
 		}
-		if !costsNobody(refusal) && !e.mayRetry() {
+		if !e.costsNobody(c, refusal) && !e.mayRetry(c) {
 			return nil, refusal
 		}
 	}
 }
 
+// earlier returns the refusal to go on with after a try: the new one, with the
+// earlier of the times at which there may be room.
+func earlier(old, r *call.Refusal) *call.Refusal {
+	if old.After > 0 && (r.After == 0 || old.After < r.After) {
+		r.After = old.After
+	}
+	return r
+}
+
 // costsNobody reports whether an attempt ended without work for any upstream:
-// nobody was there, or a target takes no new work. It is not asked again soon,
-// so trying the next one needs no budget.
-func costsNobody(r *call.Refusal) bool {
-	return r.Run == call.RunNot && (r.Reason == call.ReasonDraining || r.Reason == call.ReasonUnreachable)
+// nobody was there, or a target takes no new work and is not asked again soon.
+// Nor does a call by host that a gate turns away, whose routes bound what may
+// reach upstreams and not what gates may be asked.
+func (e *Entry) costsNobody(c *routed, r *call.Refusal) bool {
+	if r.Run != call.RunNot || r.Reached {
+		return false
+	}
+	return byHost(c.route) || r.Reason == call.ReasonDraining || r.Reason == call.ReasonUnreachable
 }
 
 // worse keeps "unknown" if an earlier attempt may have run.
@@ -69,19 +95,19 @@
 // the move under way, if any.
 func (e *Entry) pickVersion(c *routed) (string, *config.Move) {
 	table := c.state.Table()
-	split := table.Split(c.route.Service())
+	split := table.Split(c.service)
 	if split.To == "" {
 		return split.From, nil
 	}
-	move, _ := table.Move(c.route.Service())
+	move, _ := table.Move(c.service)
 	if e.config.Braked(move) {
 		return split.From, &move
 	}
 	draw := int(e.config.Draw() * config.FullShare)
-	if draw < split.Share && e.hasReady(c.route.Service(), split.To) {
+	if draw < split.Share && e.hasReady(c.service, split.To) {
 		return split.To, &move
 	}
-	if !e.hasReady(c.route.Service(), split.From) && split.Share > 0 {
+	if !e.hasReady(c.service, split.From) && split.Share > 0 {
 		return split.To, &move
 	}
 	return split.From, &move
@@ -96,14 +122,17 @@
 	return false
 }
 
-func (e *Entry) pickTarget(now time.Time, service, version string, skip map[string]bool) (feed.Target, bool) {
-	targets := e.config.Hub.View().Targets(service, version)
+func (e *Entry) pickTarget(now time.Time, c *routed, version string, skip map[string]bool) (feed.Target, bool) {
+	targets := e.config.Hub.View().Targets(c.service, version)
 	return e.balancer.Pick(now, targets, skip, e.config.Draw)
 }
 
 // shouldPassOver reports whether an upstream's own shedding should be answered
 // by trying another one.
 func (e *Entry) shouldPassOver(c *routed, a *upstream.Answer) bool {
+	if byHost(c.route) {
+		return a.Status >= http.StatusInternalServerError && e.mayRunAgain(c)
+	}
 	return a.Status == http.StatusServiceUnavailable && e.mayRunAgain(c)
 }
 
@@ -123,8 +152,9 @@
 }
 
 // mayRetry takes a retry from the budget.
-func (e *Entry) mayRetry() bool {
-	if !e.retries.spend() {
+func (e *Entry) mayRetry(c *routed) bool {
+	saved := e.config.Retries.saved(len(e.config.Hub.View().Live()))
+	if !e.retries.spend(c.service, saved) {
 		e.config.Counters.Add("retries_denied", 1)
 		return false
 	}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -4,20 +4,24 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/endivewalk/endivewalk/internal/balance"
+	"github.com/endivewalk/endivewalk/internal/caller"
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/internal/peer"
+	"github.com/endivewalk/endivewalk/internal/upstream"
 )
 
 // Addresses are those that a daemon listens on, each an IP number and a port.
 type Addresses struct {
-	Caller string // Calls from callers.
+	Caller string // Calls from callers; empty if an adapter serves them.
 	Gate   string // Calls from other daemons.
 	Peer   string // Control messages of other processes.
 	Local  string // Announcements, counters and events.
@@ -25,21 +29,29 @@
 
 // Config describes a Daemon. Host, Zone, Listen and Sources are required.
 type Config struct {
-	Host     string
-	Zone     string
-	Listen   Addresses
-	Sources  []string // Control addresses of the source's replicas.
-	Keepers  []string // Control addresses of daemons that remember this one's floor.
-	Shape    directory.Shape
-	Claims   Claims
-	Linger   time.Duration // How long a leaving daemon still takes calls: 3 s.
-	Clock    func() time.Time
-	Draw     func() float64 // Random numbers in [0, 1).
-	Dial     peer.Dial
-	Policy   move.Policy
-	Logger   log.Logger
-	Events   *event.Ring
-	Counters *count.Set
+	Host    string
+	Zone    string
+	Listen  Addresses
+	Sources []string // Control addresses of the source's replicas.
+	Keepers []string // Control addresses of daemons that remember this one's floor.
+	Shape   directory.Shape
+	Claims  Claims
+	// Local returns the handler of the local address. Nil means that there is
+	// none.
+	Local   func(*Daemon) (http.Handler, error)
+	Linger  time.Duration // How long a leaving daemon still takes calls: 3 s.
+	Clock   func() time.Time
+	Draw    func() float64 // Random numbers in [0, 1).
+	Dial    peer.Dial
+	Policy  move.Policy
+	Retries caller.RetryPolicy
+	Balance balance.Config // Zone is filled in.
+	// NewSender and FixedLimit are those of upstream.Config.
+	NewSender  func(upstream.Announcement) upstream.Sender
+	FixedLimit bool
+	Logger     log.Logger
+	Events     *event.Ring
+	Counters   *count.Set
 }
 
 // Claims names the daemons that keep the claims of keyed calls. It must be the
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,12 +9,12 @@
 
 	"github.com/endivewalk/endivewalk/internal/caller"
 	"github.com/endivewalk/endivewalk/internal/claim"
+	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/evidence"
 	"github.com/endivewalk/endivewalk/internal/feed"
 	"github.com/endivewalk/endivewalk/internal/floor"
-	"github.com/endivewalk/endivewalk/internal/localhttp"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/upstream"
 	"github.com/endivewalk/endivewalk/internal/wait"
@@ -69,11 +69,14 @@
 		Refused: d.noteRefused, Parent: d.noteParent,
 		Floor: feed.FloorConfig{Keepers: c.Keepers, Proved: d.noteProved},
 	}, d.hub)
-	d.gate = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, Changed: d.renewRecord})
+	d.gate = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, Changed: d.renewRecord,
+		NewSender: c.NewSender, Fixed: c.FixedLimit,
+	})
 	d.entry = caller.New(caller.Config{
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Draw: c.Draw, Ready: d.hub.Ready,
 		Hub: d.hub, Gate: d.gate, Evidence: d.evidence, Counters: c.Counters,
 		Charge: d.charge, Braked: d.brakes.braked, Claims: d.newTaker(incarnation),
+		Retries: c.Retries, Balance: c.Balance,
 	})
 	if err := d.listen(); err != nil {
 		d.closeServers()
@@ -113,23 +116,30 @@
 	if err := server.Register("Watch", &watchService{daemon: d}); err != nil {
 		return errs.New("daemon: %v", err)
 	}
-	local, err := localhttp.New(localhttp.Config{
-		Gate: d.gate, Clock: d.config.Clock, Status: d.Status, Events: d.config.Events, Counters: d.config.Counters,
-	})
-	if err != nil {
+	if d.gateHTTP, err = d.serveHTTP(d.config.Listen.Gate, d.gate); err != nil {
 		return err
 	}
-	if d.caller, err = d.serveHTTP(d.config.Listen.Caller, d.entry); err != nil {
-		return err
+	d.addresses.Gate = d.gateHTTP.address()
+	if d.config.Listen.Caller != "" {
+		if d.caller, err = d.serveHTTP(d.config.Listen.Caller, d.entry); err != nil {
+			return err
+		}
+		d.addresses.Caller = d.caller.address()
 	}
-	if d.gateHTTP, err = d.serveHTTP(d.config.Listen.Gate, d.gate); err != nil {
+	return d.listenLocal()
+}
+
+func (d *Daemon) listenLocal() error {
+	if d.config.Local == nil {
+		return nil
+	}
+	handler, err := d.config.Local(d)
+	if err != nil {
 		return err
 	}
-	if d.local, err = d.serveHTTP(d.config.Listen.Local, local); err != nil {
+	if d.local, err = d.serveHTTP(d.config.Listen.Local, handler); err != nil {
 		return err
 	}
-	d.addresses.Caller = d.caller.address()
-	d.addresses.Gate = d.gateHTTP.address()
 	d.addresses.Local = d.local.address()
 	return nil
 }
@@ -170,6 +180,21 @@
 // Ready reports whether calls are served.
 func (d *Daemon) Ready() bool { return d.hub.Ready() }
 
+// Gate returns the gate of the upstreams beside the daemon.
+func (d *Daemon) Gate() *upstream.Gate { return d.gate }
+
+// Entry returns the entry, for adapters that serve callers themselves.
+func (d *Daemon) Entry() *caller.Entry { return d.entry }
+
+// Clock returns the daemon's clock.
+func (d *Daemon) Clock() func() time.Time { return d.config.Clock }
+
+// SetSources replaces the addresses of the source's replicas.
+func (d *Daemon) SetSources(addresses []string) { d.child.SetSources(addresses) }
+
+// CounterSet returns the daemon's counters, to be shown.
+func (d *Daemon) CounterSet() *count.Set { return d.config.Counters }
+
 // Counters returns the daemon's counters.
 func (d *Daemon) Counters() interface{ Get(string) int64 } { return d.config.Counters }
 
@@ -179,23 +204,6 @@
 // Traffic returns the daemon's control traffic.
 func (d *Daemon) Traffic() *peer.Traffic { return &d.traffic }
 
-// Status tells how the daemon is at now.
-func (d *Daemon) Status(now time.Time) localhttp.Status {
-	state := d.hub.State()
-	s := localhttp.Status{
-		Host: d.config.Host, Zone: d.config.Zone, Revision: state.Revision(), Digest: state.Table().Digest(),
-		Ready: d.hub.Ready(), Parent: d.child.Parent(), Known: len(d.hub.View().Live()), Loads: d.gate.Loads(),
-		AgeMillis: -1,
-	}
-	for _, r := range d.hub.View().Staying() {
-		s.Upstreams += len(r.Upstreams)
-	}
-	if heard := d.hub.Heard(); !heard.IsZero() {
-		s.AgeMillis = now.Sub(heard).Milliseconds()
-	}
-	return s
-}
-
 func (d *Daemon) noteRefused(r config.Revision, err error) {
 	d.config.Logger.Log("msg", "revision refused", "revision", r, "err", err)
 	d.config.Events.Add(d.config.Clock(), event.Event{Kind: "revision-refused", Revision: r, Text: err.Error()})
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -21,7 +21,10 @@
 func (d *Daemon) Leave(ctx context.Context) error {
 	d.config.Events.Add(d.config.Clock(), event.Event{Kind: "daemon-leaving", Subject: d.config.Host, Text: "takes no new work soon"})
 	d.leaving.Store(true)
-	fronts := []*front{d.caller, d.gateHTTP}
+	fronts := []*front{d.gateHTTP}
+	if d.caller != nil {
+		fronts = append(fronts, d.caller)
+	}
 	for _, f := range fronts {
 		f.closing.Store(true)
 	}
@@ -34,9 +37,11 @@
 	}
 	d.pause(handshakeMost)
 	d.awaitClosed(ctx, fronts)
-	err := d.caller.shutdown(ctx)
-	if gateErr := d.gateHTTP.shutdown(ctx); err == nil {
-		err = gateErr
+	var err error
+	for _, f := range fronts {
+		if failed := f.shutdown(ctx); err == nil {
+			err = failed
+		}
 	}
 	for err == nil && !d.gate.Idle() {
 		err = ctx.Err()
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/pkg/config"
+)
+
+// Status tells how a daemon is.
+type Status struct {
+	Host      string               `json:"host"`
+	Zone      string               `json:"zone"` // The daemon's data centre.
+	Revision  config.Revision      `json:"revision"`
+	Digest    uint64               `json:"digest"` // Of the expanded routes.
+	Ready     bool                 `json:"ready"`  // Calls are served.
+	AgeMillis int64                `json:"ageMillis"`
+	Parent    string               `json:"parent"`
+	Known     int                  `json:"known"`     // Daemons in the directory.
+	Upstreams int                  `json:"upstreams"` // Upstreams in the directory.
+	Loads     map[string]call.Load `json:"loads"`
+}
+
+// Status tells how the daemon is at now.
+func (d *Daemon) Status(now time.Time) Status {
+	state := d.hub.State()
+	s := Status{
+		Host: d.config.Host, Zone: d.config.Zone, Revision: state.Revision(), Digest: state.Table().Digest(),
+		Ready: d.hub.Ready(), Parent: d.child.Parent(), Known: len(d.hub.View().Live()), Loads: d.gate.Loads(),
+		AgeMillis: -1,
+	}
+	for _, r := range d.hub.View().Staying() {
+		s.Upstreams += len(r.Upstreams)
+	}
+	if heard := d.hub.Heard(); !heard.IsZero() {
+		s.AgeMillis = now.Sub(heard).Milliseconds()
+	}
+	return s
+}
--- a/internal/expand/build.go
+++ b/internal/expand/build.go
@@ -60,6 +60,7 @@
 type decodedObject struct {
 	body  []byte
 	value any
+	route *Route // Of a HostRoute.
 }
 
 // build is one expansion under way.
@@ -85,6 +86,7 @@
 			limits:   map[string]*Limit{},
 			services: map[string]config.Service{},
 			moves:    map[string]config.Move{},
+			hosts:    map[string]map[string]*Route{},
 		},
 		builder: b, filled: map[config.Key]filled{},
 		units:     map[string]config.Unit{},
@@ -93,6 +95,7 @@
 	}
 	b.decode(objects, w)
 	w.checkServices()
+	w.checkHostRoutes()
 	w.checkTemplates()
 	w.expandAll()
 	w.checkUnits()
@@ -123,8 +126,15 @@
 				continue
 			}
 			d = decodedObject{body: o.Body, value: value}
+			if r, ok := value.(config.HostRoute); ok {
+				d.route = newHostRoute(r)
+			}
 		}
 		fresh[k] = d
+		if d.route != nil {
+			w.addHostRoute(d.route)
+			continue
+		}
 		w.take(d.value)
 	}
 	b.decoded = fresh
@@ -145,6 +155,8 @@
 		w.table.services[v.Name] = v
 	case config.Move:
 		w.table.moves[v.Service] = v
+	case config.Fleet:
+		w.table.fleet = v
 	}
 }
 
@@ -155,7 +167,7 @@
 func (w *build) checkServices() {
 	for name, s := range w.table.services {
 		key := config.MakeKey(config.KindService, name)
-		if !config.ValidName(s.Version) {
+		if s.Version != "" && !config.ValidName(s.Version) {
 			w.fault(key, "version", "%q is no valid version name", s.Version)
 		}
 		if s.Deadline != config.DeadlineFinish && s.Deadline != config.DeadlineTakeBack {
--- a/internal/expand/table.go
+++ b/internal/expand/table.go
@@ -7,6 +7,7 @@
 package expand
 
 import (
+	"fmt"
 	"sort"
 	"strconv"
 	"strings"
@@ -26,6 +27,13 @@
 	service string
 	repeat  bool
 	timeout time.Duration
+
+	// Of routes by host only.
+	host      string
+	objective time.Duration
+	priority  int
+	attempts  int
+	split     []config.Part
 }
 
 // Team returns the team that the route belongs to.
@@ -49,6 +57,24 @@
 // Timeout returns how long a call may take altogether.
 func (r *Route) Timeout() time.Duration { return r.timeout }
 
+// Host returns the Host header that the route applies to, or "" if it belongs
+// to a team.
+func (r *Route) Host() string { return r.host }
+
+// Objective returns the time within which an answer is worth most, or 0.
+func (r *Route) Objective() time.Duration { return r.objective }
+
+// Priority returns the rank of the route's calls; 0 is the most urgent.
+func (r *Route) Priority() int { return r.priority }
+
+// Attempts returns how many upstreams a call may reach, or 0 if the route does
+// not say.
+func (r *Route) Attempts() int { return r.attempts }
+
+// Parts returns the services that share the route's calls. Callers must not
+// change it.
+func (r *Route) Parts() []config.Part { return r.split }
+
 // Limit is a team's contract in its unit.
 type Limit struct {
 	team   string
@@ -85,6 +111,8 @@
 	limits   map[string]*Limit
 	services map[string]config.Service
 	moves    map[string]config.Move
+	hosts    map[string]map[string]*Route // By host and prefix.
+	fleet    config.Fleet
 }
 
 // Revision returns the revision that the table was expanded at.
@@ -107,6 +135,25 @@
 	return nil, false
 }
 
+// MatchHost returns the route of a host with the longest prefix of path.
+func (t *Table) MatchHost(host, path string) (*Route, bool) {
+	byPrefix := t.hosts[host]
+	for end := len(path); byPrefix != nil && end > 0; {
+		cut := strings.LastIndexByte(path[:end], '/')
+		if cut < 0 {
+			break
+		}
+		if r, ok := byPrefix[path[:cut+1]]; ok {
+			return r, true
+		}
+		end = cut
+	}
+	return nil, false
+}
+
+// Fleet returns what holds for the whole fleet.
+func (t *Table) Fleet() config.Fleet { return t.fleet }
+
 // KnowsTeam reports whether any route belongs to team.
 func (t *Table) KnowsTeam(team string) bool { return t.teams[team] != nil }
 
@@ -148,7 +195,7 @@
 	return s
 }
 
-// Routes returns all routes in the order of team, method and path.
+// Routes returns all routes in the order of team, method, host and path.
 func (t *Table) Routes() []*Route {
 	var all []*Route
 	for _, methods := range t.teams {
@@ -158,11 +205,18 @@
 			}
 		}
 	}
+	for _, prefixes := range t.hosts {
+		for _, r := range prefixes {
+			all = append(all, r)
+		}
+	}
 	sort.Slice(all, func(i, j int) bool { return all[i].sortKey() < all[j].sortKey() })
 	return all
 }
 
-func (r *Route) sortKey() string { return r.team + "\x00" + r.method + "\x00" + r.path }
+func (r *Route) sortKey() string {
+	return r.team + "\x00" + r.method + "\x00" + r.host + "\x00" + r.path
+}
 
 func (t *Table) sortedLimits() []*Limit {
 	all := make([]*Limit, 0, len(t.limits))
@@ -184,6 +238,9 @@
 	}
 	for _, r := range t.Routes() {
 		write(r.team, r.name, r.method, r.path, r.service, r.timeout.String(), strconv.FormatBool(r.repeat))
+		if r.host != "" {
+			write(r.host, r.objective.String(), strconv.Itoa(r.priority), strconv.Itoa(r.attempts), fmt.Sprint(r.split))
+		}
 	}
 	for _, l := range t.sortedLimits() {
 		write(l.team, strconv.Itoa(l.amount), l.unit, l.window.String())
--- a/internal/feed/floor.go
+++ b/internal/feed/floor.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -44,7 +43,7 @@
 }
 
 func (c *Child) askSources() (config.Revision, bool) {
-	for _, address := range directory.PreferSources(c.config.Sources, c.config.Host, c.config.Zone) {
+	for _, address := range c.sources() {
 		var reply LatestReply
 		if c.Call(address, "Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout) == nil {
 			return reply.Revision, true
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -53,6 +53,7 @@
 	state  atomic.Pointer[State]
 	view   atomic.Pointer[View]
 	floor  atomic.Uint64 // One more than the confirmed floor; 0 if unknown.
+	source atomic.Pointer[[]string]
 
 	mutex     sync.Mutex
 	directory directory.Directory
@@ -80,6 +81,22 @@
 // State returns the configuration in force.
 func (h *Hub) State() *State { return h.state.Load() }
 
+// Sources returns the addresses of the source's replicas, as far as they have
+// been told.
+func (h *Hub) Sources() []string {
+	if told := h.source.Load(); told != nil {
+		return *told
+	}
+	return nil
+}
+
+// SetSources notes the addresses of the source's replicas.
+func (h *Hub) SetSources(addresses []string) {
+	if len(addresses) > 0 {
+		h.source.Store(&addresses)
+	}
+}
+
 // Ready reports whether a daemon holds at least its floor: what the source's
 // quorum had accepted when the daemon started, or what it had in force in an
 // earlier life. Before that it must not serve.
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -38,6 +38,7 @@
 	Digest   directory.Digest // Of the parent's directory.
 	Age      time.Duration    // How long ago the source's leader was last heard of.
 	Busy     time.Duration    // If positive: ask for a whole state again after this.
+	Sources  []string         // Addresses of the source's replicas, if the parent knows them.
 }
 
 // NoticeArgs asks a second parent to tell as soon as it has a newer revision
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/catalog"
@@ -50,6 +52,7 @@
 	builder expand.Builder
 	whole   bool // The next pull asks for a whole state.
 	mutex   sync.Mutex
+	seeds   atomic.Pointer[[]string]
 	clients map[string]*peer.Client
 	parent  string // The address of the present parent.
 	since   Cursor // Where the hub was when it became the parent.
@@ -64,10 +67,15 @@
 // NewChild returns a child that keeps hub up to date.
 func NewChild(c ChildConfig, hub *Hub) *Child {
 	child := &Child{config: c, hub: hub, clients: map[string]*peer.Client{}, stop: make(chan struct{})}
+	child.SetSources(c.Sources)
 	child.floor = floor.NewProver(floor.Config{Host: c.Host, Keepers: c.Floor.Keepers, Call: child.Call})
 	return child
 }
 
+// SetSources replaces the addresses of the source's replicas that the settings
+// name. Those that a parent tells of are used besides.
+func (c *Child) SetSources(addresses []string) { c.seeds.Store(&addresses) }
+
 // Parent returns the address of the present parent.
 func (c *Child) Parent() string {
 	c.mutex.Lock()
@@ -136,7 +144,7 @@
 	for _, r := range c.config.Shape.Parents(c.hub.View().Live(), c.config.Host, c.config.Zone) {
 		all = append(all, r.Peer)
 	}
-	all = append(all, directory.PreferSources(c.config.Sources, c.config.Host, c.config.Zone)...)
+	all = append(all, c.sources()...)
 	if !c.hub.Ready() {
 		// A daemon that has just started knows no other daemons.
 		all = append(all, c.config.Floor.Keepers...)
@@ -144,6 +152,18 @@
 	return all
 }
 
+// sources returns the addresses of the source's replicas, best first: those
+// that were told lately, then those from the settings.
+func (c *Child) sources() []string {
+	all := directory.PreferSources(c.hub.Sources(), c.config.Host, c.config.Zone)
+	for _, address := range directory.PreferSources(*c.seeds.Load(), c.config.Host, c.config.Zone) {
+		if !slices.Contains(all, address) {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
 // turnTo makes address the parent and takes leave of the old one.
 func (c *Child) turnTo(address string) {
 	c.mutex.Lock()
@@ -187,6 +207,9 @@
 	now := c.config.Clock()
 	c.hub.Learn(now, address, reply.Records...)
 	c.hub.Hear(now.Add(-reply.Age))
+	if reply.Age <= staleAge {
+		c.hub.SetSources(reply.Sources)
+	}
 	met := c.instance == reply.Instance
 	c.instance, c.index = reply.Instance, reply.Index
 	if reply.Delta != nil && !c.take(*reply.Delta) {
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -83,7 +83,7 @@
 func (h *Hub) answer(now time.Time, args PullArgs) PullReply {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	reply := PullReply{Instance: h.config.Instance, Index: h.directory.Last(), Age: now.Sub(h.heard)}
+	reply := PullReply{Instance: h.config.Instance, Index: h.directory.Last(), Age: now.Sub(h.heard), Sources: h.Sources()}
 	reply.Digest = h.directory.Digest()
 	// A child that has just come compares its directory first; from then on it
 	// knows the parent's instance.
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -46,14 +46,26 @@
 // Live returns the records of all daemons that are not gone, by host.
 func (v *View) Live() []directory.Record { return v.live }
 
-// Targets returns the upstreams of a version of a service, by host. Those beside
+// Targets returns the upstreams of a version of a service, by host, or of all
+// its versions if version is "". Those beside
 // daemons that leave are returned only if there are no others: their gates take
 // calls until they are closed.
 func (v *View) Targets(service, version string) []Target {
-	if staying := v.services[service][version]; len(staying) > 0 {
+	if staying := v.services.of(service, version); len(staying) > 0 {
 		return staying
 	}
-	return v.leaving[service][version]
+	return v.leaving.of(service, version)
+}
+
+func (s targets) of(service, version string) []Target {
+	if version != "" {
+		return s[service][version]
+	}
+	var all []Target
+	for _, some := range s[service] {
+		all = append(all, some...)
+	}
+	return all
 }
 
 // Versions returns the upstreams of a service by version.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/endivewalk/endivewalk/internal/disk"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/httpapi"
+	"github.com/endivewalk/endivewalk/internal/localhttp"
 	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/internal/operatorhttp"
 	"github.com/endivewalk/endivewalk/internal/peer"
@@ -270,7 +271,7 @@
 	d, err := daemon.Start(daemon.Config{
 		Host: host, Zone: zone, Sources: f.SourceAddresses(), Shape: f.config.Shape,
 		Keepers: keepers, Claims: daemon.Claims{Keepers: claims, First: first},
-		Listen: own,
+		Listen: own, Local: localhttp.ForDaemon,
 		Linger: f.config.Linger, Policy: f.config.Policy, Draw: f.draw(), Dial: f.dial(host),
 	})
 	if err != nil {
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -17,8 +17,8 @@
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
-// Command is one entry of the log. Exactly one of Change, Begin and Step is
-// set.
+// Command is one entry of the log. Exactly one of Change, Begin, Step, Replace
+// and Pin is set.
 type Command struct {
 	Request  string // Makes the command idempotent.
 	Operator string
@@ -26,6 +26,8 @@
 	Change   *Change
 	Begin    *Begin
 	Step     *Step
+	Replace  *Replace `cbor:",omitempty"`
+	Pin      *Pin     `cbor:",omitempty"`
 }
 
 // Change puts and removes objects. It is refused as a conflict if any of them
@@ -83,6 +85,11 @@
 		change.Replaces = 0
 		c.Change = &change
 	}
+	if c.Replace != nil {
+		replace := *c.Replace
+		replace.Put, replace.Remove = nil, nil
+		c.Replace = &replace
+	}
 	data, err := c.Encode()
 	if err != nil {
 		return 0
--- a/internal/ledger/move.go
+++ b/internal/ledger/move.go
@@ -11,6 +11,9 @@
 	if !ok {
 		return s.refuse(c, "there is no service %q", b.Service)
 	}
+	if service.Version == "" {
+		return s.refuse(c, "service %q has no version to move from yet", b.Service)
+	}
 	if !config.ValidName(b.To) || b.To == service.Version {
 		return s.refuse(c, "%q is no version to move to; the service has %q", b.To, service.Version)
 	}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -15,13 +15,14 @@
 	Writers  map[config.Key]Writer
 	Answers  map[string]answered
 	Order    []string
+	Origin   []byte
 }
 
 // Snapshot returns the whole state in bytes.
 func (s *State) Snapshot() ([]byte, error) {
 	data, err := wire.Marshal(saved{
 		Whole: s.catalog.Delta(0, catalog.Digest{}), Revision: s.Revision(),
-		Writers: s.writers, Answers: s.answers, Order: s.order,
+		Writers: s.writers, Answers: s.answers, Order: s.order, Origin: s.origin,
 	})
 	if err != nil {
 		return nil, errs.New("ledger: snapshot: %v", err)
@@ -49,6 +50,7 @@
 	}
 	s.table = table
 	s.order = v.Order
+	s.origin = v.Origin
 	for k, w := range v.Writers {
 		s.writers[k] = w
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -26,6 +26,7 @@
 	writers map[config.Key]Writer
 	answers map[string]answered
 	order   []string // Requests in the order of their answers.
+	origin  []byte   // The whole configuration in force, as its operator wrote it.
 }
 
 // New returns the state before the first command.
@@ -89,6 +90,10 @@
 		return s.begin(c)
 	case c.Step != nil:
 		return s.step(c)
+	case c.Replace != nil:
+		return s.replace(c)
+	case c.Pin != nil:
+		return s.pin(c)
 	default:
 		return s.refuse(c, "the request asks for nothing")
 	}
@@ -121,7 +126,7 @@
 func (s *State) checkKeys(c Command) (Outcome, bool) {
 	seen := map[config.Key]bool{}
 	for _, key := range touchedKeys(c.Change) {
-		if !key.Valid() || key.Kind() == config.KindMove || seen[key] {
+		if !key.Valid() || key.Kind() == config.KindMove || key == config.FleetKey || seen[key] {
 			return s.refuse(c, "%q is no key that a change may name, or stands twice", key), true
 		}
 		seen[key] = true
--- a/internal/localhttp/api.go
+++ b/internal/localhttp/api.go
@@ -9,12 +9,11 @@
 
 	"github.com/kataras/iris/v12"
 
-	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/daemon"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/httpapi"
 	"github.com/endivewalk/endivewalk/internal/upstream"
-	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 // Config describes the interface.
@@ -27,17 +26,13 @@
 }
 
 // Status tells how a daemon is.
-type Status struct {
-	Host      string               `json:"host"`
-	Zone      string               `json:"zone"` // The daemon's data centre.
-	Revision  config.Revision      `json:"revision"`
-	Digest    uint64               `json:"digest"` // Of the expanded routes.
-	Ready     bool                 `json:"ready"`  // Calls are served.
-	AgeMillis int64                `json:"ageMillis"`
-	Parent    string               `json:"parent"`
-	Known     int                  `json:"known"`     // Daemons in the directory.
-	Upstreams int                  `json:"upstreams"` // Upstreams in the directory.
-	Loads     map[string]call.Load `json:"loads"`
+type Status = daemon.Status
+
+// ForDaemon returns the handler for a daemon.
+func ForDaemon(d *daemon.Daemon) (http.Handler, error) {
+	return New(Config{
+		Gate: d.Gate(), Clock: d.Clock(), Status: d.Status, Events: d.Events(), Counters: d.CounterSet(),
+	})
 }
 
 type api struct{ Config }
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -42,6 +42,8 @@
 	round       uint64
 	reads       []pendingRead
 	out         Output
+
+	memberChanges uint64
 }
 
 // Start is the synced state that a replica starts from.
@@ -72,6 +74,7 @@
 		}
 	}
 	c.synced = c.log.last()
+	c.memberChanges++
 	c.resetElection(now)
 	return c
 }
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -13,6 +14,9 @@
 type Member struct {
 	ID    string
 	Voter bool // A learner receives the log but neither votes nor counts.
+	// Address is where other replicas call this one, if that is not known by
+	// other means.
+	Address string `json:",omitempty"`
 }
 
 // Errors of a change of members.
@@ -49,7 +53,23 @@
 }
 
 func (c *Core) isVoter(id string) bool {
-	return slices.Contains(c.members(), Member{ID: id, Voter: true})
+	return hasVoter(c.members(), id)
+}
+
+func hasVoter(members []Member, id string) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.ID == id && m.Voter })
+}
+
+// MembersChange numbers the member lists that were in force in this run of the
+// replica.
+func (c *Core) MembersChange() uint64 { return c.memberChanges }
+
+// Active returns when a member last answered. Only a leader knows it.
+func (c *Core) Active(id string) time.Time {
+	if p := c.progress[id]; p != nil {
+		return p.active
+	}
+	return time.Time{}
 }
 
 func (c *Core) quorum() int {
@@ -89,7 +109,7 @@
 		}
 	}
 	for _, id := range c.voters() {
-		if !slices.Contains(next, Member{ID: id, Voter: true}) {
+		if !hasVoter(next, id) {
 			changed++
 		}
 	}
@@ -119,6 +139,7 @@
 
 // trackMembers keeps one progress record for each other member.
 func (c *Core) trackMembers() {
+	c.memberChanges++
 	if c.role != RoleLeader {
 		return
 	}
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -158,6 +158,7 @@
 func (c *Core) install(s *Snapshot) {
 	c.log.reset(s.Index, s.Term)
 	c.changes = []memberChange{{index: s.Index, members: s.Members}}
+	c.memberChanges++
 	c.snapshot = s
 	c.commit = s.Index
 	c.applied = s.Index
--- a/internal/source/agree.go
+++ b/internal/source/agree.go
@@ -24,6 +24,7 @@
 
 type proposal struct {
 	command ledger.Command
+	objects []config.Object    // All objects of a replacement, whose changes are still to be found.
 	done    chan proposeResult // Buffered; receives one result.
 }
 
@@ -64,6 +65,7 @@
 	leader  string
 	roomy   bool
 	roomAt  time.Time
+	members uint64 // The change of members that the node knows of.
 }
 
 func newAgreement(n *Node, store *disk.Store, id string, start quorum.Start, now time.Time) (*agreement, error) {
@@ -107,6 +109,7 @@
 			return
 		}
 		a.compact()
+		a.noteMembers()
 		a.noteRole(now)
 		a.node.hub.Hear(a.core.Heard(now))
 	}
@@ -138,7 +141,7 @@
 		a.reading[a.readID] = in.read
 		a.core.Read(a.readID)
 	case in.join != nil:
-		in.join.done <- a.handleJoin(in.join.id)
+		in.join.done <- a.handleJoin(now, in.join)
 	case in.look != nil:
 		in.look(a)
 	}
@@ -153,6 +156,14 @@
 		p.done <- a.refuseFull(p.command)
 		return
 	}
+	if p.command.Replace != nil {
+		// A resent configuration is large, and need not pass the log again.
+		if out, ok := a.state.Again(p.command); ok {
+			p.done <- proposeResult{outcome: out}
+			return
+		}
+	}
+	a.plan(p)
 	p.command.At = now.UTC().Round(0)
 	data, err := p.command.Encode()
 	if err != nil {
@@ -345,6 +356,30 @@
 	a.node.config.Counters.Add("snapshots_written", 1)
 }
 
+// noteMembers tells the node of the addresses in a new member list.
+func (a *agreement) noteMembers() {
+	if change := a.core.MembersChange(); change != a.members {
+		a.members = change
+		members := a.core.Members()
+		a.node.config.Logger.Log("msg", "members changed", "members", describeMembers(members))
+		a.node.learnMembers(members)
+	}
+}
+
+func describeMembers(members []quorum.Member) string {
+	text := ""
+	for _, m := range members {
+		if text != "" {
+			text += ","
+		}
+		text += m.ID
+		if !m.Voter {
+			text += "(learner)"
+		}
+	}
+	return text
+}
+
 func (a *agreement) noteRole(now time.Time) {
 	role, leader := a.core.Role(), a.core.Leader()
 	if role == a.role && leader == a.leader {
--- a/internal/source/config.go
+++ b/internal/source/config.go
@@ -43,10 +43,17 @@
 
 // Config describes a Node.
 type Config struct {
-	Name     string
-	Zone     string
-	Listen   string // The address for other processes.
-	Members  []Member
+	Name    string
+	Zone    string
+	Listen  string // The address for other processes.
+	Address string // Where other replicas call this one; empty means Listen.
+	// Members are the replicas of the group or, in an open group, those by which
+	// it is found; at the first start they found it.
+	Members []Member
+	// Voters makes the group an open one, which any replica may join. It is how
+	// many voters the group wants; further replicas are learners. 0 means that
+	// the members are all there are, and all vote.
+	Voters   int
 	Disk     disk.Config
 	Init     bool // Make a new group if the folder is empty.
 	Timing   Timing
@@ -71,6 +78,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Address == "" {
+		c.Address = c.Listen
+	}
 	if c.Timing.Heartbeat == 0 {
 		c.Timing.Heartbeat = 50 * time.Millisecond
 	}
@@ -121,7 +131,7 @@
 func firstMembers(members []Member) []quorum.Member {
 	var all []quorum.Member
 	for _, m := range members {
-		all = append(all, quorum.Member{ID: memberID(m.Name, firstIdentity), Voter: true})
+		all = append(all, quorum.Member{ID: memberID(m.Name, firstIdentity), Voter: true, Address: m.Address})
 	}
 	return all
 }
--- a/internal/source/exchange.go
+++ b/internal/source/exchange.go
@@ -22,25 +22,26 @@
 	differs  time.Time // Since when the two directories have differed.
 }
 
-// runExchange tells the other replicas what daemons below this one report, so
-// that every replica knows the whole fleet.
+// runExchange drops what is outdated of the exchange with other replicas.
 func (n *Node) runExchange() {
-	for name, c := range n.clients {
-		s := &sibling{name: name, client: c}
-		n.goDuty(func() { n.exchangeWith(s) })
-	}
 	for n.pause(time.Second) {
 		n.hub.Expire(n.config.Clock())
 	}
 }
 
-func (n *Node) exchangeWith(s *sibling) {
+// exchangeWith tells another replica what daemons below this one report, so
+// that every replica knows the whole fleet.
+func (n *Node) exchangeWith(one *link) {
+	s := &sibling{name: one.name, client: one.client}
 	for n.pause(exchangeLeast) {
 		wake := n.hub.Wake()
 		n.exchangeOnce(s)
 		timer := time.NewTimer(exchangeMost)
 		select {
 		case <-n.stop:
+		case <-one.stop:
+			timer.Stop()
+			return
 		case <-wake:
 		case <-timer.C:
 		}
--- a/internal/source/identity.go
+++ b/internal/source/identity.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,18 +39,27 @@
 			return nil, "", quorum.Start{}, err
 		}
 		return create(c, c.Identity(c.Name))
-	case errors.Is(err, disk.ErrEmpty) && c.Init:
-		if groupExists() {
+	case errors.Is(err, disk.ErrEmpty) && c.Init && (c.Voters == 0 || c.founds()):
+		switch exists := groupExists(); {
+		case exists && c.Voters > 0:
+			return create(c, c.Identity(c.Name))
+		case exists:
 			return nil, "", quorum.Start{}, ErrExists
 		}
 		return create(c, firstIdentity)
-	case errors.Is(err, disk.ErrEmpty) && len(c.Members) > 1:
+	case errors.Is(err, disk.ErrEmpty) && (len(c.Members) > 1 || c.Voters > 0):
 		return create(c, c.Identity(c.Name))
 	default:
 		return nil, "", quorum.Start{}, err
 	}
 }
 
+// founds reports whether this replica is among the first members of an open
+// group.
+func (c Config) founds() bool {
+	return slices.ContainsFunc(c.Members, func(m Member) bool { return m.Name == c.Name })
+}
+
 func create(c Config, identity string) (*disk.Store, string, quorum.Start, error) {
 	if err := disk.Create(c.Disk, memberID(c.Name, identity)); err != nil {
 		return nil, "", quorum.Start{}, err
--- a/internal/source/join.go
+++ b/internal/source/join.go
@@ -22,25 +22,39 @@
 
 // join is a request of a replica to become a voter.
 type join struct {
-	id   string
-	done chan JoinState // Buffered; receives one state.
+	id      string
+	address string
+	done    chan JoinState // Buffered; receives one state.
 }
 
 // JoinArgs asks the leader to make a replica a voter.
-type JoinArgs struct{ ID string }
+type JoinArgs struct {
+	ID      string
+	Address string // Where other replicas call it.
+}
 
-// JoinReply tells how far that has come.
-type JoinReply struct{ State JoinState }
+// JoinReply tells how far that has come, and who leads.
+type JoinReply struct {
+	State  JoinState
+	Leader Member // Empty if not known.
+}
 
 // Join takes the next step towards making a replica a voter. The replica asks
 // again until it is done.
 func (s *sourceService) Join(args JoinArgs, reply *JoinReply) error {
-	if s.node.clients[memberName(args.ID)] == nil {
+	name := memberName(args.ID)
+	if s.node.open() {
+		s.node.Learn(Member{Name: name, Address: args.Address})
+	}
+	if s.node.links.get(name) == nil {
 		s.node.config.Counters.Add("quorum_bad_messages", 1)
 		return nil
 	}
+	if leader := s.node.links.get(s.node.Leader()); leader != nil {
+		reply.Leader = Member{Name: leader.name, Address: leader.address}
+	}
 	done := make(chan JoinState, 1)
-	if !s.node.agree.inputs.Offer(input{join: &join{id: args.ID, done: done}}) {
+	if !s.node.agree.inputs.Offer(input{join: &join{id: args.ID, address: args.Address, done: done}}) {
 		return nil
 	}
 	select {
@@ -50,35 +64,67 @@
 	return nil
 }
 
+// open reports whether replicas that the settings do not name may join.
+func (n *Node) open() bool { return n.config.Voters > 0 }
+
 // handleJoin replaces an old member of the same name in three changes, each of
 // at most one voter: the old one out, the new one in as a learner, and the
 // learner a voter once it has synced everything committed.
-func (a *agreement) handleJoin(id string) JoinState {
+func (a *agreement) handleJoin(now time.Time, j *join) JoinState {
 	if a.core.Role() != quorum.RoleLeader {
 		return JoinPending
 	}
 	members := a.core.Members()
-	if slices.Contains(members, quorum.Member{ID: id, Voter: true}) {
+	own := slices.IndexFunc(members, func(m quorum.Member) bool { return m.ID == j.id })
+	if own >= 0 && members[own].Voter {
 		return JoinDone
 	}
 	old := slices.IndexFunc(members, func(m quorum.Member) bool {
-		return memberName(m.ID) == memberName(id) && m.ID != id
+		return memberName(m.ID) == memberName(j.id) && m.ID != j.id
 	})
-	learner := slices.Index(members, quorum.Member{ID: id})
 	switch {
 	case old >= 0:
 		a.change(slices.Delete(members, old, old+1))
 		return JoinPending
-	case learner < 0:
-		a.change(append(members, quorum.Member{ID: id}))
+	case own < 0:
+		a.change(append(members, quorum.Member{ID: j.id, Address: j.address}))
 		return JoinRemoved
+	case a.full(members):
+		if silent := a.silentVoter(now, members); silent >= 0 && a.core.Match(j.id) >= a.core.Commit() {
+			a.node.config.Logger.Log("msg", "a voter is silent; a learner takes its place", "voter", members[silent].ID, "learner", j.id)
+			a.change(slices.Delete(members, silent, silent+1))
+		}
+		return JoinLearning
 	default:
-		members[learner].Voter = true
+		members[own].Voter = true
 		a.change(members)
 		return JoinLearning
 	}
 }
 
+// full reports whether an open group has as many voters as it wants.
+func (a *agreement) full(members []quorum.Member) bool {
+	voters := 0
+	for _, m := range members {
+		if m.Voter {
+			voters++
+		}
+	}
+	return a.node.open() && voters >= a.node.config.Voters
+}
+
+// silentAfter is how long a voter may say nothing before a learner that waits
+// takes its place.
+const silentAfter = 2 * time.Second
+
+// silentVoter returns the index of a voter that has not answered the leader
+// lately, or -1.
+func (a *agreement) silentVoter(now time.Time, members []quorum.Member) int {
+	return slices.IndexFunc(members, func(m quorum.Member) bool {
+		return m.Voter && m.ID != a.node.id && now.Sub(a.core.Active(m.ID)) > silentAfter
+	})
+}
+
 func (a *agreement) change(members []quorum.Member) {
 	_, err := a.core.ProposeMembers(members)
 	if err != nil && !errors.Is(err, quorum.ErrChangePending) && !errors.Is(err, quorum.ErrNotCaughtUp) {
@@ -89,40 +135,60 @@
 const (
 	joinPause   = 100 * time.Millisecond
 	joinTimeout = time.Second
+	// memberPause is how often a voter looks whether it hears a leader, and
+	// unheardMost how long it may hear none before it asks whether it is still a
+	// member.
+	memberPause = time.Second
+	unheardMost = 2 * time.Second
 )
 
 // runJoin asks to become a voter, if the data folder is a new one in an old
 // group. Until it is one the replica neither votes nor counts: it does not
-// know what the lost folder had promised.
+// know what the lost folder had promised. A voter that hears no leader may have
+// been put out while it was cut off, and asks too.
 func (n *Node) runJoin() {
-	if n.isVoter() {
+	if !n.isVoter() && !n.becomeVoter() {
 		return
 	}
+	for n.pause(memberPause) {
+		if n.config.Clock().Sub(n.hub.Heard()) > unheardMost && n.open() && !n.IsLeader() {
+			n.askJoin()
+		}
+	}
+}
+
+// becomeVoter returns false if the node stops first.
+func (n *Node) becomeVoter() bool {
 	n.config.Logger.Log("msg", "joining the group with a new data folder", "id", n.id)
-	for n.pause(joinPause) {
+	for {
+		if !n.pause(joinPause) {
+			return false
+		}
 		if n.askJoin() && n.isVoter() {
 			break
 		}
 	}
-	select {
-	case <-n.stop:
-		return
-	default:
-	}
 	n.config.Counters.Add("repaired", 1)
 	n.config.Logger.Log("msg", "repaired", "id", n.id, "revision", n.hub.State().Revision())
 	n.config.Events.Add(n.config.Clock(), event.Event{
 		Kind: "repaired", Subject: n.config.Name, Revision: n.hub.State().Revision(),
 		Text: "has synced everything committed and votes again",
 	})
+	return true
 }
 
-// askJoin asks each member in turn, since only the leader can help.
+// askJoin asks each replica in turn, since only the leader can help.
 func (n *Node) askJoin() bool {
-	for _, c := range n.clients {
+	for _, one := range n.links.all() {
 		var reply JoinReply
-		err := c.Call("Source.Join", JoinArgs{ID: n.id}, &reply, joinTimeout)
-		if err == nil && reply.State == JoinDone {
+		err := one.client.Call("Source.Join", JoinArgs{ID: n.id, Address: n.config.Address}, &reply, joinTimeout)
+		if err != nil {
+			continue
+		}
+		if n.open() {
+			n.Learn(reply.Leader)
+		}
+		if reply.State == JoinDone {
 			return true
 		}
 	}
@@ -134,7 +200,7 @@
 func (n *Node) isVoter() bool {
 	voter := false
 	n.look(func(a *agreement) {
-		voter = slices.Contains(a.core.MembersAt(a.core.Commit()), quorum.Member{ID: n.id, Voter: true}) ||
+		voter = slices.ContainsFunc(a.core.MembersAt(a.core.Commit()), func(m quorum.Member) bool { return m.ID == n.id && m.Voter }) ||
 			a.core.Last() == 0 && len(a.core.Members()) > 0
 	})
 	return voter
--- /dev/null
+++ b/internal/source/links.go
@@ -0,0 +1,108 @@
+package source
+
+import (
+	"sync"
+
+	"github.com/endivewalk/endivewalk/internal/peer"
+	"github.com/endivewalk/endivewalk/internal/quorum"
+	"github.com/endivewalk/endivewalk/internal/ring"
+)
+
+// link is the way to another replica.
+type link struct {
+	name    string
+	address string
+	client  *peer.Client
+	outbox  *ring.Ring[quorum.Message]
+	stop    chan struct{}
+}
+
+// links holds the ways to all other replicas that are known, by name. It is
+// safe for concurrent use.
+type links struct {
+	mutex  sync.RWMutex
+	byName map[string]*link
+}
+
+func (l *links) get(name string) *link {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+	return l.byName[name]
+}
+
+// client returns the client of a replica, or nil.
+func (l *links) client(name string) *peer.Client {
+	if one := l.get(name); one != nil {
+		return one.client
+	}
+	return nil
+}
+
+// all returns the links in no particular order.
+func (l *links) all() []*link {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+	all := make([]*link, 0, len(l.byName))
+	for _, one := range l.byName {
+		all = append(all, one)
+	}
+	return all
+}
+
+// Learn tells the node of another replica, or of a new address of one. It may
+// be called at any time; the node itself and known replicas are passed over.
+func (n *Node) Learn(m Member) {
+	if m.Name == n.config.Name || m.Name == "" || m.Address == "" {
+		return
+	}
+	n.links.mutex.Lock()
+	old := n.links.byName[m.Name]
+	if old != nil && old.address == m.Address {
+		n.links.mutex.Unlock()
+		return
+	}
+	one := &link{
+		name: m.Name, address: m.Address, stop: make(chan struct{}),
+		client: peer.NewClient(m.Address, n.config.Dial, &n.traffic),
+		outbox: ring.New[quorum.Message](outboxRing),
+	}
+	n.links.byName[m.Name] = one
+	started := n.linksStarted
+	n.links.mutex.Unlock()
+	if old != nil {
+		close(old.stop)
+		old.client.Close()
+	}
+	if started {
+		n.startLink(one)
+	}
+}
+
+// startLink starts the duties of a link.
+func (n *Node) startLink(one *link) {
+	n.goDuty(func() { n.runOutbox(one) })
+	n.goDuty(func() { n.exchangeWith(one) })
+}
+
+// startLinks starts the duties of the links known so far; later ones start with
+// Learn.
+func (n *Node) startLinks() {
+	n.links.mutex.Lock()
+	n.linksStarted = true
+	n.links.mutex.Unlock()
+	for _, one := range n.links.all() {
+		n.startLink(one)
+	}
+}
+
+// learnMembers takes the addresses in a member list in.
+func (n *Node) learnMembers(members []quorum.Member) {
+	addresses := []string{}
+	for _, m := range members {
+		n.Learn(Member{Name: memberName(m.ID), Address: m.Address})
+		if m.Address != "" {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	n.hub.SetSources(addresses)
+}
--- a/internal/source/mover.go
+++ b/internal/source/mover.go
@@ -32,6 +32,7 @@
 			clear(judges)
 			continue
 		}
+		n.pinVersions()
 		running := map[string]bool{}
 		for _, m := range n.Moves() {
 			if m.State == config.MoveRunning {
@@ -100,3 +101,34 @@
 	}
 	return [2]int{count(m.From), count(m.To)}
 }
+
+// pinVersions sets the version of services that have none to that of their
+// upstreams. Of several versions, the one with the most slots is taken.
+func (n *Node) pinVersions() {
+	table := n.hub.State().Table()
+	for _, name := range table.Services() {
+		if s, _ := table.Service(name); s.Version != "" {
+			continue
+		}
+		version, most := "", 0
+		for v, targets := range n.hub.View().Versions(name) {
+			slots := 0
+			for _, t := range targets {
+				slots += t.Slots
+			}
+			if slots > most || slots == most && v < version {
+				version, most = v, slots
+			}
+		}
+		if version == "" {
+			continue
+		}
+		command := ledger.Command{
+			Request: fmt.Sprintf("pin-%s-%s-%d", name, version, table.Revision()), Operator: moverName,
+			Pin: &ledger.Pin{Service: name, Version: version},
+		}
+		if _, err := n.Propose(command, n.config.Clock().Add(stepTimeout)); err != nil {
+			n.config.Logger.Log("msg", "version not pinned", "service", name, "version", version, "err", err)
+		}
+	}
+}
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -23,12 +23,13 @@
 	agree   *agreement
 	server  *peer.Server
 	traffic peer.Traffic
-	clients map[string]*peer.Client // By member name.
-	outbox  map[string]*ring.Ring[quorum.Message]
+	links   links
 	leader  atomic.Value // A member name, or "".
 	stop    chan struct{}
 	duties  sync.WaitGroup
 
+	linksStarted bool // Guarded by the mutex of links.
+
 	leaderMutex  sync.Mutex
 	leaderChange chan struct{} // Closed when leader changes.
 }
@@ -38,13 +39,10 @@
 // Start opens the data folder and begins to serve.
 func Start(c Config) (*Node, error) {
 	c = c.withDefaults()
-	n := &Node{config: c, clients: map[string]*peer.Client{}, outbox: map[string]*ring.Ring[quorum.Message]{}, stop: make(chan struct{}), leaderChange: make(chan struct{})}
+	n := &Node{config: c, links: links{byName: map[string]*link{}}, stop: make(chan struct{}), leaderChange: make(chan struct{})}
 	n.leader.Store("")
 	for _, m := range c.Members {
-		if m.Name != c.Name {
-			n.clients[m.Name] = peer.NewClient(m.Address, c.Dial, &n.traffic)
-			n.outbox[m.Name] = ring.New[quorum.Message](outboxRing)
-		}
+		n.Learn(m)
 	}
 	store, id, start, err := openFolder(c, n.groupExists)
 	if err != nil {
@@ -93,9 +91,7 @@
 	n.goDuty(n.runExchange)
 	n.goDuty(n.runMover)
 	n.goDuty(n.runJoin)
-	for name, box := range n.outbox {
-		n.goDuty(func() { n.runOutbox(n.clients[name], box) })
-	}
+	n.startLinks()
 }
 
 func (n *Node) goDuty(duty func()) {
@@ -112,17 +108,21 @@
 	c.Gauge("control_bytes_received", func() any { return n.traffic.Received() })
 	c.Gauge("revision", func() any { return n.hub.State().Revision() })
 	c.Gauge("inputs_shed", func() any { return n.agree.inputs.Shed() })
-	for name, box := range n.outbox {
-		c.Gauge("outbox_shed_"+name, func() any { return box.Shed() })
-	}
+	c.Gauge("outbox_shed", func() any {
+		shed := map[string]any{}
+		for _, one := range n.links.all() {
+			shed[one.name] = one.outbox.Shed()
+		}
+		return shed
+	})
 }
 
 // Stop ends all duties and closes the disk.
 func (n *Node) Stop() {
 	close(n.stop)
 	n.server.Close()
-	for _, c := range n.clients {
-		c.Close()
+	for _, one := range n.links.all() {
+		one.client.Close()
 	}
 	n.duties.Wait()
 }
@@ -177,23 +177,25 @@
 // send hands a message to the duty that calls that member. A full ring sheds;
 // the agreement repeats what matters.
 func (n *Node) send(m quorum.Message) {
-	if box := n.outbox[memberName(m.To)]; box != nil {
-		box.Offer(m)
+	if one := n.links.get(memberName(m.To)); one != nil {
+		one.outbox.Offer(m)
 	}
 }
 
 const outboxBatch = 64
 
 // runOutbox sends messages to one member, as many at once as wait.
-func (n *Node) runOutbox(c *peer.Client, box *ring.Ring[quorum.Message]) {
+func (n *Node) runOutbox(one *link) {
 	for {
 		select {
 		case <-n.stop:
 			return
-		case m := <-box.Out():
-			batch := drainMessages(m, box)
+		case <-one.stop:
+			return
+		case m := <-one.outbox.Out():
+			batch := drainMessages(m, one.outbox)
 			timeout := 2 * n.config.Timing.Election
-			if err := c.Call("Quorum.Step", StepArgs{Messages: batch}, &StepReply{}, timeout); err != nil {
+			if err := one.client.Call("Quorum.Step", StepArgs{Messages: batch, Address: n.config.Address}, &StepReply{}, timeout); err != nil {
 				n.config.Counters.Add("quorum_calls_failed", 1)
 				n.pause(n.config.Timing.Heartbeat)
 			}
@@ -254,7 +256,7 @@
 	if leader == n.config.Name {
 		return n.proposeHere(c)
 	}
-	client := n.clients[leader]
+	client := n.links.client(leader)
 	if client == nil {
 		return ledger.Outcome{}, ErrNoLeader
 	}
@@ -267,8 +269,13 @@
 
 // proposeHere decides a command on this replica, which must lead.
 func (n *Node) proposeHere(c ledger.Command) (ledger.Outcome, error) {
+	return n.decideHere(proposal{command: c})
+}
+
+func (n *Node) decideHere(p proposal) (ledger.Outcome, error) {
 	done := make(chan proposeResult, 1)
-	if !n.agree.inputs.Offer(input{propose: &proposal{command: c, done: done}}) {
+	p.done = done
+	if !n.agree.inputs.Offer(input{propose: &p}) {
 		return ledger.Outcome{}, ErrBusy
 	}
 	t := time.NewTimer(proposeTimeout)
@@ -289,7 +296,7 @@
 	if leader == n.config.Name {
 		return n.latestHere()
 	}
-	client := n.clients[leader]
+	client := n.links.client(leader)
 	if client == nil {
 		return 0, feed.ErrUnconfirmed
 	}
--- a/internal/source/service.go
+++ b/internal/source/service.go
@@ -11,7 +11,10 @@
 )
 
 // StepArgs carries messages of the agreement.
-type StepArgs struct{ Messages []quorum.Message }
+type StepArgs struct {
+	Messages []quorum.Message
+	Address  string // Where the sender is called.
+}
 
 // StepReply carries nothing; a call without error was taken in.
 type StepReply struct{}
@@ -24,7 +27,11 @@
 func (s *quorumService) Step(args StepArgs, _ *StepReply) error {
 	for i := range args.Messages {
 		m := &args.Messages[i]
-		if s.node.clients[memberName(m.From)] == nil {
+		name := memberName(m.From)
+		if s.node.open() {
+			s.node.Learn(Member{Name: name, Address: args.Address})
+		}
+		if s.node.links.get(name) == nil {
 			s.node.config.Counters.Add("quorum_bad_messages", 1)
 			continue
 		}
@@ -102,7 +109,7 @@
 
 // Exchange takes in what another replica knows of its daemons.
 func (s *sourceService) Exchange(args feed.ReportArgs, reply *ExchangeReply) error {
-	if s.node.clients[args.Host] == nil {
+	if s.node.links.get(args.Host) == nil {
 		s.node.config.Counters.Add("feed_bad_messages", 1)
 		return feed.ErrBadMessage
 	}
@@ -135,9 +142,9 @@
 
 // groupExists asks the other members whether the group has begun.
 func (n *Node) groupExists() bool {
-	for _, c := range n.clients {
+	for _, one := range n.links.all() {
 		var reply ExistsReply
-		if c.Call("Source.Exists", ExistsArgs{}, &reply, existsTimeout) == nil && reply.Exists {
+		if one.client.Call("Source.Exists", ExistsArgs{}, &reply, existsTimeout) == nil && reply.Exists {
 			return true
 		}
 	}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -4,10 +4,8 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,6 +22,7 @@
 type Call struct {
 	Upstream string
 	Method   string
+	Host     string   // The caller's Host header.
 	URL      *url.URL // Path and query.
 	Header   http.Header
 	Body     io.ReadCloser
@@ -34,6 +33,16 @@
 	// Until is when a keyed call must not be run any more, whatever it has
 	// waited for. The zero value is never.
 	Until time.Time
+
+	Route     string
+	Caller    string    // The service beside which the call began.
+	Nested    bool      // Made by an upstream while it works on another call.
+	Priority  int       // 0 is the most urgent.
+	Objective time.Time // Until when an answer is worth most; zero if not known.
+}
+
+func (c Call) want() want {
+	return want{route: c.Route, nested: c.Nested, priority: c.Priority, objective: c.Objective, deadline: c.Deadline}
 }
 
 // Answer is an upstream's answer. The reader must read Body to its end or
@@ -48,7 +57,7 @@
 }
 
 // Do runs a call at an upstream, once. The error is a *call.Refusal. A refusal
-// that says "not run" means that no byte was sent.
+// that says "not run" means that no byte was sent, or that the upstream said so.
 func (g *Gate) Do(ctx context.Context, c Call) (*Answer, error) {
 	e := g.entry(c.Upstream)
 	if e == nil {
@@ -64,7 +73,7 @@
 
 // wait waits for a slot.
 func (g *Gate) wait(ctx context.Context, e *entry, c Call) *call.Refusal {
-	t, refusal := e.lane.enter(g.config.Clock(), c.Deadline)
+	t, refusal := e.lane.enter(g.config.Clock(), c.want())
 	if refusal != nil {
 		return refusal
 	}
@@ -82,7 +91,7 @@
 	case <-ctx.Done():
 	}
 	if e.lane.abandon(t) {
-		e.lane.leave(g.config.Clock(), 0, true)
+		e.lane.leave(g.config.Clock(), c.Route, 0, true)
 	}
 	return call.Refuse(call.ReasonDeadline)
 }
@@ -92,63 +101,27 @@
 	start := g.config.Clock()
 	// A process that was frozen while the call waited must not run it late.
 	if !start.Before(c.Deadline) || (!c.Until.IsZero() && !start.Before(c.Until)) {
-		e.lane.leave(start, 0, true)
+		e.lane.leave(start, c.Route, 0, true)
 		return nil, call.Refuse(call.ReasonDeadline)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	request := newRequest(httptrace.WithClientTrace(ctx, trace), start, e.said.Address, c)
 	g.config.Counters.Add("gate_calls", 1)
-	response, err := e.client.RoundTrip(request)
+	answer, err := e.sender.Send(ctx, c, c.Deadline.Sub(start))
 	took := g.config.Clock().Sub(start)
 	if err != nil {
 		cancel()
-		load := e.lane.leave(g.config.Clock(), took, true)
-		return nil, g.failed(ctx, sent.Load(), load)
+		refusal := call.AsRefusal(err)
+		refusal.Load = e.lane.leave(g.config.Clock(), c.Route, took, true)
+		g.config.Counters.Add("gate_failed_"+string(refusal.Reason), 1)
+		return nil, refusal
 	}
-	body := &answerBody{ReadCloser: response.Body, done: func(failed bool) {
+	answer.Body = &answerBody{ReadCloser: answer.Body, done: func(failed bool) {
 		cancel()
-		e.lane.leave(g.config.Clock(), g.config.Clock().Sub(start), failed)
+		e.lane.leave(g.config.Clock(), c.Route, g.config.Clock().Sub(start), failed)
 	}}
-	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Body: body,
-		Length: response.ContentLength, Load: e.lane.Load(), Took: took,
-	}, nil
-}
-
-// failed tells what is known of a call without an answer.
-func (g *Gate) failed(ctx context.Context, sent bool, load call.Load) *call.Refusal {
-	r := call.Refuse(call.ReasonUnreachable)
-	switch {
-	case sent && ctx.Err() == context.DeadlineExceeded:
-		r = call.Unknown(call.ReasonDeadline)
-	case sent:
-		r = call.Unknown(call.ReasonBroken)
-	case ctx.Err() == context.DeadlineExceeded:
-		r = call.Refuse(call.ReasonDeadline)
-	}
-	r.Load = load
-	g.config.Counters.Add("gate_failed_"+string(r.Reason), 1)
-	return r
-}
-
-func newRequest(ctx context.Context, now time.Time, address string, c Call) *http.Request {
-	r := &http.Request{
-		Method:        c.Method,
-		URL:           &url.URL{Scheme: "http", Host: address, Path: c.URL.Path, RawPath: c.URL.RawPath, RawQuery: c.URL.RawQuery},
-		Host:          address,
-		Header:        http.Header{},
-		Body:          call.SendBody(c.Method, c.Body, c.Repeat),
-		ContentLength: c.Length,
-	}
-	call.CopyHeader(r.Header, c.Header)
-	call.SetKey(r.Header, c.Key)
-	// What the upstream calls in turn must end before this call does, and must
-	// not be retried on its own.
-	r.Header.Set(call.HeaderTimeout, c.Deadline.Sub(now).String())
-	r.Header.Set(call.HeaderDepth, strconv.Itoa(call.Depth(c.Header)+1))
-	return r.WithContext(ctx)
+	answer.Load = e.lane.Load()
+	answer.Took = took
+	return answer, nil
 }
 
 // answerBody frees the slot once, when the answer has ended.
--- a/internal/upstream/gate.go
+++ b/internal/upstream/gate.go
@@ -1,8 +1,6 @@
 package upstream
 
 import (
-	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -71,8 +69,9 @@
 	since    time.Time
 	until    time.Time
 	draining bool
+	life     Life
 	lane     *lane
-	client   *http.Transport
+	sender   Sender
 }
 
 // Config describes a Gate.
@@ -82,6 +81,12 @@
 	Events   *event.Ring
 	// Changed is called after the set of upstreams changed.
 	Changed func()
+	// NewSender returns what sends calls to an upstream. Nil means HTTP with the
+	// system's own headers.
+	NewSender func(Announcement) Sender
+	// Fixed keeps the limit of an upstream at its slots. Otherwise it is lowered
+	// while calls take long, which suits upstreams whose calls are alike.
+	Fixed bool
 }
 
 // Gate knows the upstreams beside a daemon, and every call to them passes it.
@@ -90,11 +95,15 @@
 	config    Config
 	mutex     sync.Mutex
 	upstreams map[string]*entry
+	ended     map[string]ended // By upstream ID.
 }
 
 // New returns a gate that knows no upstream.
 func New(c Config) *Gate {
-	return &Gate{config: c, upstreams: map[string]*entry{}}
+	if c.NewSender == nil {
+		c.NewSender = newHTTPSender
+	}
+	return &Gate{config: c, upstreams: map[string]*entry{}, ended: map[string]ended{}}
 }
 
 // Announce takes in an announcement or renews one.
@@ -111,7 +120,8 @@
 		if e != nil {
 			g.close(e)
 		}
-		e = &entry{said: a, since: now, lane: newLane(a.Slots), client: newTransport(a.Connections)}
+		e = &entry{said: a, since: now, lane: newLane(a.Slots), sender: g.config.NewSender(a)}
+		e.lane.queue.limiter.fixed = g.config.Fixed
 		g.upstreams[a.ID] = e
 	}
 	e.until = now.Add(time.Duration(a.Lease))
@@ -122,19 +132,6 @@
 	return nil
 }
 
-// newTransport returns a client of one upstream. Answers are passed on as they
-// are, so nothing may be unpacked on the way.
-func newTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: time.Second}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}
-}
-
 // Drain lets no new call reach an upstream; those that run go on.
 func (g *Gate) Drain(now time.Time, id string) error {
 	g.mutex.Lock()
@@ -171,22 +168,23 @@
 // close lets running calls end and takes no others. The caller holds the lock.
 func (g *Gate) close(e *entry) {
 	e.lane.drain(true)
-	e.client.CloseIdleConnections()
+	e.sender.Close()
 }
 
 // Expire takes out the upstreams whose leases have ended.
 func (g *Gate) Expire(now time.Time) {
 	g.mutex.Lock()
-	var ended []Announcement
+	g.forgetEnded(now)
+	var late []Announcement
 	for id, e := range g.upstreams {
 		if now.After(e.until) {
 			delete(g.upstreams, id)
 			g.close(e)
-			ended = append(ended, e.said)
+			late = append(late, e.said)
 		}
 	}
 	g.mutex.Unlock()
-	for _, a := range ended {
+	for _, a := range late {
 		g.config.Counters.Add("leases_expired", 1)
 		g.note(now, "expired", a, "did not renew its lease")
 	}
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -10,83 +10,65 @@
 )
 
 // queuePerSlot bounds the calls that wait for each slot.
-const queuePerSlot = 4
+const queuePerSlot = 8
 
 // lane lets a bounded number of calls run at one upstream and a bounded number
 // wait. It is safe for concurrent use.
 type lane struct {
 	mutex    sync.Mutex
-	limiter  limiter
-	running  int
-	queue    []*ticket
+	queue    queue
 	draining bool
 	closed   bool
 }
 
 // ticket is a call that waits.
 type ticket struct {
-	deadline time.Time
-	granted  chan *call.Refusal // Buffered; nil means that the call may run.
-	left     bool
+	want    want
+	granted chan *call.Refusal // Buffered; nil means that the call may run.
+	left    bool
 }
 
 func newLane(slots int) *lane {
-	return &lane{limiter: newLimiter(slots)}
+	return &lane{queue: newQueue(slots)}
 }
 
 // enter asks for a call to run. It returns a refusal, or a ticket to wait on.
-func (l *lane) enter(now, deadline time.Time) (*ticket, *call.Refusal) {
+func (l *lane) enter(now time.Time, w want) (*ticket, *call.Refusal) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	switch {
-	case l.draining || l.closed:
-		return nil, l.refuse(call.ReasonDraining)
-	case !l.inTime(now, deadline):
-		return nil, l.refuse(call.ReasonDeadline)
+	if l.draining || l.closed {
+		return nil, l.refuse(call.ReasonDraining, 0)
 	}
-	t := &ticket{deadline: deadline, granted: make(chan *call.Refusal, 1)}
-	if l.running < l.limiter.limit() {
-		l.running++
-		t.granted <- nil
-		return t, nil
-	}
-	if len(l.queue) >= queuePerSlot*l.limiter.slots || !l.queueInTime(now, deadline) {
-		return nil, l.refuse(call.ReasonShed)
+	l.dropHopeless(now)
+	if reason, after := l.queue.admit(now, w); reason != "" {
+		return nil, l.refuse(reason, after)
 	}
-	l.queue = append(l.queue, t)
+	t := &ticket{want: w, granted: make(chan *call.Refusal, 1)}
+	l.queue.waiting = append(l.queue.waiting, t)
+	l.grant(now)
 	return t, nil
 }
 
-// inTime reports whether a call that begins now is likely to end in time.
-func (l *lane) inTime(now, deadline time.Time) bool {
-	return now.Add(l.limiter.typical()).Before(deadline)
-}
-
-// queueInTime reports whether a call at the end of the queue is likely to end
-// in time.
-func (l *lane) queueInTime(now, deadline time.Time) bool {
-	rounds := 1 + len(l.queue)/l.limiter.limit()
-	wait := time.Duration(rounds) * l.limiter.typical()
-	return l.inTime(now.Add(wait), deadline)
-}
-
-func (l *lane) refuse(reason call.Reason) *call.Refusal {
+func (l *lane) refuse(reason call.Reason, after time.Duration) *call.Refusal {
 	r := call.Refuse(reason)
 	r.Load = l.load()
+	r.After = after
 	return r
 }
 
 func (l *lane) load() call.Load {
-	return call.Load{Running: l.running, Queued: len(l.queue), Limit: l.limiter.limit(), Service: l.limiter.typical()}
+	q := &l.queue
+	return call.Load{Running: q.running, Queued: len(q.waiting), Limit: q.limiter.limit(), Service: q.limiter.typical()}
 }
 
 // leave ends a call that ran. took is how long the upstream needed, or 0 if
 // that says nothing.
-func (l *lane) leave(now time.Time, took time.Duration, failed bool) call.Load {
+func (l *lane) leave(now time.Time, route string, took time.Duration, failed bool) call.Load {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.limiter.observe(now, took, l.running, failed)
-	l.running--
+	l.queue.observe(now, route, took, failed)
+	l.queue.running--
+	l.dropHopeless(now)
 	l.grant(now)
 	return l.load()
 }
@@ -105,22 +87,24 @@
 	}
 }
 
-// grant lets waiting calls run. Deadlines are looked at here, at the head of
-// the queue: a call that can't make its deadline any more is not run.
+func (l *lane) dropHopeless(now time.Time) {
+	for _, t := range l.queue.hopeless(now) {
+		t.granted <- l.refuse(call.ReasonDeadline, 0)
+	}
+}
+
+// grant lets waiting calls run while there are slots.
 func (l *lane) grant(now time.Time) {
-	for len(l.queue) > 0 && l.running < l.limiter.limit() {
-		t := l.queue[0]
-		l.queue = l.queue[1:]
-		switch {
-		case t.left:
-		case l.draining || l.closed:
-			t.granted <- l.refuse(call.ReasonDraining)
-		case !l.inTime(now, t.deadline):
-			t.granted <- l.refuse(call.ReasonDeadline)
-		default:
-			l.running++
-			t.granted <- nil
+	for l.queue.running < l.queue.limiter.limit() {
+		t := l.queue.next(now)
+		if t == nil {
+			return
+		}
+		if t.left {
+			continue
 		}
+		l.queue.running++
+		t.granted <- nil
 	}
 }
 
@@ -130,19 +114,19 @@
 	defer l.mutex.Unlock()
 	l.draining = true
 	l.closed = l.closed || closed
-	for _, t := range l.queue {
+	for _, t := range l.queue.waiting {
 		if !t.left {
-			t.granted <- l.refuse(call.ReasonDraining)
+			t.granted <- l.refuse(call.ReasonDraining, 0)
 		}
 	}
-	l.queue = nil
+	l.queue.waiting = nil
 }
 
 // idle reports whether no call runs or waits.
 func (l *lane) idle() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.running == 0 && len(l.queue) == 0
+	return l.queue.running == 0 && len(l.queue.waiting) == 0
 }
 
 // Load returns what the lane tells with each answer.
--- a/internal/upstream/limiter.go
+++ b/internal/upstream/limiter.go
@@ -20,6 +20,7 @@
 // that it declared. It reads no clock and is not safe for concurrent use.
 type limiter struct {
 	slots  int
+	fixed  bool // The limit stays at slots.
 	learnt float64
 	mean   float64 // Seconds; 0 until the first call.
 	base   float64
@@ -53,6 +54,9 @@
 	} else {
 		l.base += baseWeight * (t - l.base)
 	}
+	if l.fixed {
+		return
+	}
 	if l.mean > crowded*l.base && running >= l.limit() {
 		if now.Sub(l.cut) >= l.typical() {
 			l.cut = now
--- /dev/null
+++ b/internal/upstream/queue.go
@@ -0,0 +1,201 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/call"
+)
+
+// want describes a call that wants to run at an upstream.
+type want struct {
+	route     string
+	nested    bool // Made by an upstream while it works on another call.
+	priority  int  // 0 is the most urgent.
+	objective time.Time
+	deadline  time.Time
+}
+
+// queue decides which call runs next at an upstream, and which are refused. It
+// reads no clock and does no I/O, and is not safe for concurrent use.
+//
+// The load that it is made for is a service that gets more calls than its
+// upstreams can run, from callers that come back after a refusal. Calls that
+// can still make their objective go first, or all would be late by the same
+// time; calls of upstreams that are at work go before them, since their
+// parents hold slots meanwhile. A call that would wait beyond its deadline is
+// refused when it comes, while its caller can still go elsewhere.
+type queue struct {
+	limiter  limiter
+	times    map[string]*workTime
+	running  int
+	waiting  []*ticket // In the order of their arrival.
+	refusals refusals
+}
+
+// workTime is a running mean of what the calls of a route take, in seconds.
+type workTime struct {
+	mean  float64
+	calls int
+}
+
+const (
+	// timeWeight is the weight of a new call in the mean of its route.
+	timeWeight = 0.05
+	// residualPart is the part of its time that a running call is taken to
+	// need still.
+	residualPart = 0.5
+	// lateMargin is how many times the foreseen wait must fit for a call that
+	// can't make its objective: calls that can will go before it.
+	lateMargin = 2.0
+	// finishMargin is how many times its mean a call is taken to need, when it
+	// is decided whether it can make its objective.
+	finishMargin = 1.2
+)
+
+func newQueue(slots int) queue {
+	return queue{limiter: newLimiter(slots), times: map[string]*workTime{}}
+}
+
+// work returns how long a call of a route is likely to take.
+func (q *queue) work(route string) time.Duration {
+	if t := q.times[route]; t != nil {
+		return time.Duration(t.mean * float64(time.Second))
+	}
+	return q.limiter.typical()
+}
+
+// observe learns from a call that ended at now.
+func (q *queue) observe(now time.Time, route string, took time.Duration, failed bool) {
+	q.limiter.observe(now, took, q.running, failed)
+	if took <= 0 || failed {
+		return
+	}
+	t := q.times[route]
+	if t == nil {
+		t = &workTime{}
+		q.times[route] = t
+	}
+	t.calls++
+	weight := max(timeWeight, 1/float64(t.calls))
+	t.mean += weight * (took.Seconds() - t.mean)
+}
+
+// inTime reports whether a call that starts at start is likely to make its
+// objective.
+func (q *queue) inTime(start time.Time, w want) bool {
+	if w.objective.IsZero() {
+		return false
+	}
+	need := time.Duration(finishMargin * float64(q.work(w.route)))
+	return !start.Add(need).After(w.objective)
+}
+
+// before reports whether a goes before b at now.
+func (q *queue) before(now time.Time, a, b want) bool {
+	if a.nested != b.nested {
+		return a.nested
+	}
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	early := q.inTime(now, a)
+	if early != q.inTime(now, b) {
+		return early
+	}
+	if early {
+		return a.objective.Before(b.objective)
+	}
+	return a.deadline.Before(b.deadline)
+}
+
+// wait returns how long a call that comes at now is likely to wait.
+func (q *queue) wait(now time.Time, w want) time.Duration {
+	limit := q.limiter.limit()
+	if q.running < limit && len(q.waiting) == 0 {
+		return 0
+	}
+	ahead := time.Duration(residualPart * float64(q.running) * float64(q.limiter.typical()))
+	for _, t := range q.waiting {
+		if !t.left && !q.before(now, w, t.want) {
+			ahead += q.work(t.want.route)
+		}
+	}
+	return ahead / time.Duration(limit)
+}
+
+// admit decides whether a call that comes at now may run or wait. If not, it
+// returns the reason and when the caller should come back.
+func (q *queue) admit(now time.Time, w want) (call.Reason, time.Duration) {
+	wait := q.wait(now, w)
+	work := q.work(w.route)
+	if !q.inTime(now.Add(wait), w) {
+		wait = time.Duration(lateMargin * float64(wait))
+	}
+	finish := now.Add(wait + work)
+	switch {
+	case !now.Add(work).Before(w.deadline):
+		return call.ReasonDeadline, 0
+	case !finish.Before(w.deadline) || len(q.waiting) >= queuePerSlot*q.limiter.slots:
+		return call.ReasonShed, q.refusals.after(now, finish.Sub(w.deadline), q.spacing())
+	}
+	return "", 0
+}
+
+// spacing is the time in which the upstream has room for one more call.
+func (q *queue) spacing() time.Duration {
+	return q.limiter.typical() / time.Duration(q.limiter.limit())
+}
+
+// next takes the call out that is to run next at now, or nil.
+func (q *queue) next(now time.Time) *ticket {
+	best := -1
+	for i, t := range q.waiting {
+		if best < 0 || q.before(now, t.want, q.waiting[best].want) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	t := q.waiting[best]
+	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
+	return t
+}
+
+// hopeless takes out the calls that can't be answered by their deadlines any
+// more.
+func (q *queue) hopeless(now time.Time) []*ticket {
+	var out []*ticket
+	kept := q.waiting[:0]
+	for _, t := range q.waiting {
+		switch {
+		case t.left:
+		case !now.Add(q.work(t.want.route)).Before(t.want.deadline):
+			out = append(out, t)
+		default:
+			kept = append(kept, t)
+		}
+	}
+	q.waiting = kept
+	return out
+}
+
+// refusals spreads the callers that were refused over the time in which there
+// will be room, in the order in which they were refused.
+type refusals struct {
+	next time.Time // When the next refused caller should come back.
+}
+
+// afterLeast keeps callers from coming back within a round trip.
+const afterLeast = 20 * time.Millisecond
+
+// after returns how long a caller should stay away that could be served in
+// wait, given that one more can be served in each spacing.
+func (r *refusals) after(now time.Time, wait, spacing time.Duration) time.Duration {
+	at := now.Add(max(wait, afterLeast))
+	if r.next.After(at) {
+		at = r.next
+	}
+	r.next = at.Add(spacing)
+	return at.Sub(now)
+}
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -37,13 +37,25 @@
 		return Call{}, call.Refuse(call.ReasonBadCall)
 	}
 	budget := time.Duration(micros) * time.Microsecond
-	return Call{
-		Upstream: id, Method: r.Method, URL: r.URL, Header: r.Header, Body: r.Body, Length: r.ContentLength,
+	now := g.config.Clock()
+	rank, err := call.ParseRank(r.Header.Get(call.HeaderRank))
+	if err != nil {
+		return Call{}, call.Refuse(call.ReasonBadCall)
+	}
+	c := Call{
+		Upstream: id, Method: r.Method, Host: r.Host, URL: r.URL, Header: r.Header, Body: r.Body, Length: r.ContentLength,
 		Key:      r.Header.Get(call.HeaderInnerKey),
 		Repeat:   r.Header.Get(call.HeaderRepeat) == "safe",
-		Deadline: g.config.Clock().Add(budget),
+		Deadline: now.Add(budget),
 		Until:    until,
-	}, nil
+		Route:    r.Header.Get(call.HeaderRoute),
+		Caller:   r.Header.Get(call.HeaderCaller),
+		Nested:   rank.Nested, Priority: rank.Priority,
+	}
+	if rank.Objective != 0 {
+		c.Objective = now.Add(rank.Objective)
+	}
+	return c, nil
 }
 
 // PassOn writes the answer to w. If the answer breaks off, so does the
--- a/pkg/config/object.go
+++ b/pkg/config/object.go
@@ -18,6 +18,8 @@
 	KindContract   Kind = "contract"
 	KindService    Kind = "service"
 	KindMove       Kind = "move"
+	KindRoute      Kind = "route" // A HostRoute.
+	KindFleet      Kind = "fleet"
 )
 
 // Key names an object within a fleet, as in "template/booking" or
@@ -43,7 +45,7 @@
 func (k Key) Valid() bool {
 	want := 1
 	switch k.Kind() {
-	case KindUnit, KindTemplate, KindContract, KindService, KindMove:
+	case KindUnit, KindTemplate, KindContract, KindService, KindMove, KindRoute, KindFleet:
 	case KindParameters:
 		want = 2
 	default:
@@ -66,7 +68,7 @@
 }
 
 // MakeObject returns the canonical form of a Unit, Template, Parameters,
-// Contract, Service or Move.
+// Contract, Service, Move, HostRoute or Fleet.
 func MakeObject(value any) (Object, error) {
 	var key Key
 	switch v := value.(type) {
@@ -82,6 +84,10 @@
 		key = MakeKey(KindService, v.Name)
 	case Move:
 		key = MakeKey(KindMove, v.Service)
+	case HostRoute:
+		key = v.Key()
+	case Fleet:
+		key = FleetKey
 	default:
 		return Object{}, errs.New("config: %T is no configuration object", value)
 	}
@@ -107,6 +113,10 @@
 		return decode[Service](o)
 	case KindMove:
 		return decode[Move](o)
+	case KindRoute:
+		return decode[HostRoute](o)
+	case KindFleet:
+		return decode[Fleet](o)
 	default:
 		return nil, errs.New("config: %q has an unknown kind", o.Key)
 	}
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -69,11 +69,15 @@
 type Service struct {
 	Name string `json:"name" jsonc:"required"`
 	// Version is the version that gets the traffic. After the first time it
-	// changes only by a move.
+	// changes only by a move. If it is empty, the source sets it to the version
+	// of the first upstreams that announce themselves.
 	Version string `json:"version" jsonc:"required"`
 	// Deadline says what to do with a move whose time runs out before the new
 	// version is proved: DeadlineFinish or DeadlineTakeBack.
 	Deadline string `json:"deadline" jsonc:"required"`
+	// Connections is how many connections an upstream takes from all callers
+	// together; 0 means as many as it announces.
+	Connections int `json:"connections,omitempty"`
 }
 
 // The values of Service.Deadline.
