Restart expands once; loads of others told apart; near upstreams preferred

Ruled out: disk, election times alone. Change: the table is expanded when it is asked for; floors are asked every 300 ms; a told load counts what this daemon has sent only once.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,11 @@
 	Ramp time.Duration
 	// Eject is how long an upstream that fails is left out at first: 1 s.
 	Eject time.Duration
+	// Near and Far are how many upstreams are drawn from the own data centre and
+	// from the others: 2 and 1. More find the best one more often; fewer keep
+	// daemons whose knowledge has the same age from choosing the same one.
+	Near int
+	Far  int
 }
 
 const (
@@ -41,9 +47,10 @@
 }
 
 type state struct {
-	running  int
+	running  int // Calls of this daemon.
 	load     call.Load
 	loadAt   time.Time
+	loadOwn  int // Of the calls told of, those of this daemon.
 	failures int
 	ejected  time.Time // Left out until then.
 	ejects   int
@@ -70,6 +77,12 @@
 	if c.Eject == 0 {
 		c.Eject = time.Second
 	}
+	if c.Near == 0 {
+		c.Near = 2
+	}
+	if c.Far == 0 {
+		c.Far = 1
+	}
 	return &Balancer{config: c, states: map[key]*state{}}
 }
 
@@ -79,7 +92,7 @@
 // caller must call Done. skip holds upstreams that refused this call already.
 // draw gives random numbers in [0, 1). It returns false if there is none.
 //
-// Two upstreams of the own data centre and one of the others are drawn, and
+// Some upstreams of the own data centre and some of the others are drawn, and
 // the one that is likely to answer first is taken, so that calls stay near
 // until that costs more than going away.
 func (b *Balancer) Pick(now time.Time, targets []feed.Target, skip map[string]bool, draw func() float64) (feed.Target, bool) {
@@ -88,8 +101,8 @@
 	b.sweep(now)
 	near, away := b.usable(now, targets, skip)
 	var drawn []feed.Target
-	drawn = append(drawn, sample(near, 2, draw)...)
-	drawn = append(drawn, sample(away, 3-len(drawn), draw)...)
+	drawn = append(drawn, sample(near, b.config.Near, draw)...)
+	drawn = append(drawn, sample(away, b.config.Near+b.config.Far-len(drawn), draw)...)
 	if len(drawn) == 0 {
 		return feed.Target{}, false
 	}
@@ -136,15 +149,12 @@
 	if len(from) <= count {
 		return from
 	}
-	first := int(draw() * float64(len(from)))
-	if count == 1 {
-		return from[first : first+1]
+	mixed := slices.Clone(from)
+	for i := range count {
+		j := i + int(draw()*float64(len(mixed)-i))
+		mixed[i], mixed[j] = mixed[j], mixed[i]
 	}
-	second := int(draw() * float64(len(from)-1))
-	if second >= first {
-		second++
-	}
-	return []feed.Target{from[first], from[second]}
+	return mixed[:count]
 }
 
 // score is the time in which a target is likely to answer, in seconds.
@@ -157,11 +167,12 @@
 			service = max(s.load.Service, time.Microsecond)
 		}
 		if now.Sub(s.loadAt) < loadLifetime {
-			running = max(running, s.load.Running+s.load.Queued)
+			others := s.load.Running + s.load.Queued - s.loadOwn
+			running += max(0, others)
 		}
 	}
 	busy := float64(running+1) / float64(limit)
-	seconds := service.Seconds() * (1 + busy)
+	seconds := service.Seconds() * (1 + crowding*busy)
 	if busy > 1 {
 		seconds += service.Seconds() * (busy - 1)
 	}
@@ -174,6 +185,10 @@
 	return seconds
 }
 
+// crowding is how much longer a call takes at an upstream whose slots are all
+// busy, as a part of its time.
+const crowding = 0.3
+
 // ramped returns the part of its share that a target gets, which grows while
 // it is new.
 func (b *Balancer) ramped(now time.Time, t feed.Target) float64 {
@@ -210,6 +225,7 @@
 	if r.Load.Limit > 0 {
 		s.load = r.Load
 		s.loadAt = now
+		s.loadOwn = s.running
 	}
 	if r.Closed {
 		s.ejected = now.Add(closedPause)
--- a/internal/feed/floor.go
+++ b/internal/feed/floor.go
@@ -8,7 +8,10 @@
 )
 
 const (
-	latestTimeout = 3 * time.Second
+	latestTimeout = time.Second
+	// floorPause bounds the time between two questions for the floor: a daemon
+	// without one serves nothing.
+	floorPause = 300 * time.Millisecond
 	// proveMost is how long a revision is held back for the keepers. After
 	// that to be behind is worse than to be unproved.
 	proveMost = 2 * time.Second
@@ -36,7 +39,7 @@
 			c.takeFloor(r)
 			return
 		}
-		if !c.pause(backoff(attempt, c.config.Draw())) {
+		if !c.pause(min(backoff(attempt, c.config.Draw()), floorPause)) {
 			return
 		}
 	}
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -176,9 +176,6 @@
 	c.since = c.hub.recordsNow()
 	c.mutex.Unlock()
 	c.instance, c.index, c.differs = 0, 0, time.Time{}
-	if c.config.Parent != nil {
-		c.config.Parent(address)
-	}
 	if old != "" {
 		go c.client(old).Call("Feed.Report", ReportArgs{Host: c.config.Host, Leaving: true}, &ReportReply{}, reportTimeout)
 	}
@@ -212,6 +209,9 @@
 	}
 	met := c.instance == reply.Instance
 	c.instance, c.index = reply.Instance, reply.Index
+	if !met && c.config.Parent != nil {
+		c.config.Parent(address)
+	}
 	if reply.Delta != nil && !c.take(*reply.Delta) {
 		return refusedPause, nil
 	}
--- a/internal/ledger/move.go
+++ b/internal/ledger/move.go
@@ -7,7 +7,7 @@
 // begin starts a move with no traffic on the new version yet.
 func (s *State) begin(c Command) Outcome {
 	b := c.Begin
-	service, ok := s.table.Service(b.Service)
+	service, ok := s.Table().Service(b.Service)
 	if !ok {
 		return s.refuse(c, "there is no service %q", b.Service)
 	}
@@ -20,7 +20,7 @@
 	if !b.By.After(c.At) {
 		return s.refuse(c, "the time to finish by, %s, has passed", b.By.UTC().Format("15:04:05"))
 	}
-	if m, ok := s.table.Move(b.Service); ok && m.State == config.MoveRunning {
+	if m, ok := s.Table().Move(b.Service); ok && m.State == config.MoveRunning {
 		return s.conflict(c, config.MakeKey(config.KindMove, b.Service))
 	}
 	m := config.Move{
@@ -36,7 +36,7 @@
 func (s *State) step(c Command) Outcome {
 	st := c.Step
 	key := config.MakeKey(config.KindMove, st.Service)
-	m, ok := s.table.Move(st.Service)
+	m, ok := s.Table().Move(st.Service)
 	if !ok || m.State != config.MoveRunning {
 		return s.refuse(c, "no move of service %q is under way", st.Service)
 	}
@@ -76,7 +76,7 @@
 
 // finishMove ends a move and gives the service its new version at once.
 func (s *State) finishMove(c Command, m config.Move) Outcome {
-	service, _ := s.table.Service(m.Service)
+	service, _ := s.Table().Service(m.Service)
 	service.Version = m.To
 	moved, err := config.MakeObject(service)
 	if err != nil {
--- a/internal/ledger/replace.go
+++ b/internal/ledger/replace.go
@@ -23,7 +23,29 @@
 }
 
 // Version returns the version of the whole configuration in force, or 0.
-func (s *State) Version() uint64 { return s.table.Fleet().Version }
+func (s *State) Version() uint64 {
+	e, ok := s.catalog.Get(config.FleetKey)
+	if !ok {
+		return 0
+	}
+	value, err := e.Object.Value()
+	fleet, is := value.(config.Fleet)
+	if err != nil || !is {
+		return 0 // Checked when it was accepted.
+	}
+	return fleet.Version
+}
+
+// service returns a service in force.
+func (s *State) service(key config.Key) (config.Service, bool) {
+	e, ok := s.catalog.Get(key)
+	if !ok {
+		return config.Service{}, false
+	}
+	value, err := e.Object.Value()
+	service, is := value.(config.Service)
+	return service, err == nil && is
+}
 
 // Origin returns the whole configuration in force as its operator wrote it, or
 // nil.
@@ -62,7 +84,7 @@
 	if err != nil || !ok {
 		return o // Faulty objects are found by the builder.
 	}
-	old, known := s.table.Service(service.Name)
+	old, known := s.service(o.Key)
 	if !known || service.Version != "" {
 		return o
 	}
@@ -73,6 +95,8 @@
 	return o
 }
 
+// replace trusts that the whole configuration has passed its check before it
+// was proposed.
 func (s *State) replace(c Command) Outcome {
 	r := c.Replace
 	if r.Base != s.Version() {
@@ -81,6 +105,9 @@
 	if r.Version <= s.Version() {
 		return s.refuse(c, "version %d is not above the present one, %d", r.Version, s.Version())
 	}
+	if r.Base == 0 && s.catalog.Len() > 0 {
+		return s.refuse(c, "the fleet is configured by single objects, and can't be configured as a whole too")
+	}
 	put := make([]config.Object, len(r.Put))
 	for i, o := range r.Put {
 		if !o.Key.Valid() || !replaced(o.Key.Kind()) {
@@ -93,11 +120,8 @@
 			return s.refuse(c, "%q is no part of a whole configuration", k)
 		}
 	}
-	out := s.accept(c, put, s.withMoves(r.Remove))
-	if out.Status == StatusAccepted {
-		s.origin = r.Origin
-	}
-	return out
+	s.origin = r.Origin
+	return s.put(c, put, s.withMoves(r.Remove))
 }
 
 // withMoves adds the moves of removed services.
@@ -113,7 +137,7 @@
 }
 
 func (s *State) pin(c Command) Outcome {
-	service, ok := s.table.Service(c.Pin.Service)
+	service, ok := s.Table().Service(c.Pin.Service)
 	if !ok || service.Version != "" {
 		return s.refuse(c, "service %q does not exist or has a version", c.Pin.Service)
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -21,7 +21,7 @@
 // State is the state machine. It is not safe for concurrent use.
 type State struct {
 	catalog *catalog.Catalog
-	table   *expand.Table
+	table   *expand.Table // May be older than the catalog; see Table.
 	builder expand.Builder
 	writers map[config.Key]Writer
 	answers map[string]answered
@@ -43,8 +43,20 @@
 // Catalog returns the objects in force. Callers must not change it.
 func (s *State) Catalog() *catalog.Catalog { return s.catalog }
 
-// Table returns the expanded configuration in force.
-func (s *State) Table() *expand.Table { return s.table }
+// Table returns the expanded configuration in force. It is expanded when it is
+// asked for, so that a replica that applies many replacements at once, as after
+// a restart, expands only the last.
+func (s *State) Table() *expand.Table {
+	if s.table.Revision() != s.Revision() {
+		table, err := s.builder.Build(s.Revision(), s.catalog.Objects())
+		if err != nil {
+			// Only changes that were sound when they were accepted are applied.
+			panic(err)
+		}
+		s.table = table
+	}
+	return s.table
+}
 
 // Revision returns the newest accepted revision.
 func (s *State) Revision() config.Revision { return s.catalog.Revision() }
@@ -100,6 +112,9 @@
 }
 
 func (s *State) change(c Command) Outcome {
+	if s.Version() > 0 {
+		return s.refuse(c, "the fleet is configured as a whole; single objects can't be changed")
+	}
 	if c.Change.Replaces > s.Revision() {
 		return s.refuse(c, "revision %d does not exist yet; the newest is %d", c.Change.Replaces, s.Revision())
 	}
@@ -159,7 +174,7 @@
 	if !ok {
 		return Outcome{}, false
 	}
-	if old, known := s.table.Service(service.Name); known && old.Version != service.Version {
+	if old, known := s.Table().Service(service.Name); known && old.Version != service.Version {
 		return s.refuse(c, "%s: the version changes from %q to %q only by a move", o.Key, old.Version, service.Version), true
 	}
 	return Outcome{}, false
@@ -182,6 +197,12 @@
 		return out
 	}
 	s.table = table
+	return s.put(c, put, remove)
+}
+
+// put makes a sound change the next revision.
+func (s *State) put(c Command, put []config.Object, remove []config.Key) Outcome {
+	next := s.Revision() + 1
 	s.catalog.Change(put, remove)
 	for _, o := range put {
 		s.note(c, o.Key, next)
