--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -48,6 +48,7 @@
 	balancer *balance.Balancer
 	retries  retryBudgets
 	splits   splitter
+	patience patience
 	gates    gates
 	keptFor  atomic.Pointer[feed.View]
 }
@@ -83,6 +84,7 @@
 	service  string
 	state    *feed.State // The configuration that the call began with.
 	began    time.Time
+	elapsed  time.Duration // Of the caller's time, before this attempt.
 	deadline time.Time
 	depth    int
 	key      string
--- a/internal/caller/host.go
+++ b/internal/caller/host.go
@@ -67,6 +67,7 @@
 	}
 	return &routed{
 		request: r, route: route, state: state, deadline: now.Add(timeout), body: body,
+		elapsed: e.patience.elapsed(route.Name(), a.Patience),
 		service: e.splits.pick(route, e.config.Draw), caller: a.Caller,
 		rank:  call.Rank{Nested: a.Nested, Priority: route.Priority()},
 		began: now,
@@ -86,7 +87,7 @@
 	if c.route.Objective() == 0 {
 		return time.Time{}
 	}
-	return c.began.Add(c.route.Objective())
+	return c.began.Add(c.route.Objective() - c.elapsed)
 }
 
 // attempts returns how many upstreams the call may reach.
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -26,15 +26,16 @@
 	version, move := e.pickVersion(c)
 	skip := map[string]bool{}
 	refusal := call.Refuse(call.ReasonNoUpstream)
+	var passed *upstream.Answer // A failure that was passed over.
 	reached := 0
 	for try := 1; ; try++ {
 		now := e.config.Clock()
 		if !now.Before(c.deadline) {
-			return nil, worse(refusal, call.ReasonDeadline)
+			return instead(passed, worse(refusal, call.ReasonDeadline))
 		}
 		target, ok := e.pickTarget(now, c, version, skip)
 		if !ok {
-			return nil, refusal
+			return instead(passed, refusal)
 		}
 		skip[target.Host+"/"+target.ID] = true
 		answer, err := e.send(c, target)
@@ -45,9 +46,11 @@
 		if err == nil {
 			reached++
 			if !e.shouldPassOver(c, answer) || reached >= c.attempts() || !e.mayRetry(c) {
+				passed.Drop()
 				return answer, nil
 			}
-			answer.Body.Close()
+			passed.Drop()
+			passed = answer
 			continue
 		}
 		refusal = earlier(refusal, call.AsRefusal(err))
@@ -55,17 +58,30 @@
 			reached++
 		}
 		if !e.mayRepeat(c, refusal) || reached >= c.attempts() || try == triesMost {
-			return nil, refusal
+			return instead(passed, refusal)
 		}
 		if !e.costsNobody(c, refusal) && !e.mayRetry(c) {
-			return nil, refusal
+			return instead(passed, refusal)
 		}
 	}
 }
 
+// instead returns an upstream's failure that was passed over, if there is one,
+// rather than a refusal: the call has run, whatever became of later tries.
+func instead(passed *upstream.Answer, r *call.Refusal) (*upstream.Answer, error) {
+	if passed != nil {
+		return passed, nil
+	}
+	return nil, r
+}
+
 // earlier returns the refusal to go on with after a try: the new one, with the
-// earlier of the times at which there may be room.
+// earlier of the times at which there may be room. A call that may have run
+// stays one.
 func earlier(old, r *call.Refusal) *call.Refusal {
+	if old.Run == call.RunUnknown && r.Run == call.RunNot {
+		return old
+	}
 	if old.After > 0 && (r.After == 0 || old.After < r.After) {
 		r.After = old.After
 	}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -68,6 +68,17 @@
 	c.conn.Close()
 }
 
+// retireIdle closes the connection if no request is being answered.
+func (c *serverConn) retireIdle() {
+	c.mutex.Lock()
+	idle := c.pending == 0
+	c.broken = c.broken || idle
+	c.mutex.Unlock()
+	if idle {
+		c.abort()
+	}
+}
+
 func (c *serverConn) serve() {
 	defer c.server.drop(c)
 	var running sync.WaitGroup
@@ -197,7 +208,10 @@
 	closes := r.Close || !r.ProtoAtLeast(1, 1)
 	w := newResponse(c, r, *last, closes)
 	*last = w.done
-	c.begin()
+	if !c.begin() {
+		cancel()
+		return false
+	}
 	c.slots <- struct{}{}
 	running.Add(1)
 	go func() {
@@ -219,14 +233,20 @@
 	return !closes
 }
 
-func (c *serverConn) begin() {
-	c.server.active.Add(1)
+// begin counts a request. It returns false if the connection has been closed
+// meanwhile.
+func (c *serverConn) begin() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.broken {
+		return false
+	}
+	c.server.active.Add(1)
 	if c.pending == 0 {
 		c.idle = make(chan struct{})
 	}
 	c.pending++
+	return true
 }
 
 func (c *serverConn) end() {
@@ -283,7 +303,9 @@
 func (c *serverConn) reject(status int, reason string, last chan struct{}) {
 	c.server.config.Rejected(status, reason)
 	w := newResponse(c, &http.Request{Method: http.MethodGet}, last, true)
-	c.begin()
+	if !c.begin() {
+		return
+	}
 	defer c.end()
 	w.WriteHeader(status)
 	w.finish()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -124,6 +124,20 @@
 // still taken.
 func (s *Server) Retire() { s.closing.Store(true) }
 
+// Drain closes the listeners and the connections on which no request is being
+// answered. The others close with their next answer.
+func (s *Server) Drain() {
+	s.closing.Store(true)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for l := range s.listeners {
+		l.Close()
+	}
+	for c := range s.conns {
+		c.retireIdle()
+	}
+}
+
 // Active returns how many requests are being answered.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -56,6 +56,13 @@
 	Took   time.Duration // From sending the call to the head of the answer.
 }
 
+// Drop gives an answer up. It may be called on nil.
+func (a *Answer) Drop() {
+	if a != nil {
+		a.Body.Close()
+	}
+}
+
 // Do runs a call at an upstream, once. The error is a *call.Refusal. A refusal
 // that says "not run" means that no byte was sent, or that the upstream said so.
 func (g *Gate) Do(ctx context.Context, c Call) (*Answer, error) {
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -46,6 +46,9 @@
 	t := &ticket{want: w, granted: make(chan *call.Refusal, 1)}
 	l.queue.waiting = append(l.queue.waiting, t)
 	l.grant(now)
+	if last := l.queue.overflow(now); last != nil && !last.left {
+		last.granted <- l.refuse(call.ReasonShed, l.queue.refusals.after(now, l.queue.wait(now, last.want), l.queue.spacing()))
+	}
 	return t, nil
 }
 
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -41,15 +41,15 @@
 const (
 	// timeWeight is the weight of a new call in the mean of its route.
 	timeWeight = 0.05
-	// residualPart is the part of its time that a running call is taken to
-	// need still.
-	residualPart = 0.5
 	// lateMargin is how many times the foreseen wait must fit for a call that
 	// can't make its objective: calls that can will go before it.
 	lateMargin = 2.0
+	// lateWaiting is how many calls that can't make their objectives may wait
+	// for each slot.
+	lateWaiting = 1.0
 	// finishMargin is how many times its mean a call is taken to need, when it
 	// is decided whether it can make its objective.
-	finishMargin = 1.2
+	finishMargin = 1.4
 )
 
 func newQueue(slots int) queue {
@@ -114,7 +114,7 @@
 	if q.running < limit && len(q.waiting) == 0 {
 		return 0
 	}
-	ahead := time.Duration(residualPart * float64(q.running) * float64(q.limiter.typical()))
+	ahead := q.limiter.typical()
 	for _, t := range q.waiting {
 		if !t.left && !q.before(now, w, t.want) {
 			ahead += q.work(t.want.route)
@@ -128,17 +128,51 @@
 func (q *queue) admit(now time.Time, w want) (call.Reason, time.Duration) {
 	wait := q.wait(now, w)
 	work := q.work(w.route)
-	if !q.inTime(now.Add(wait), w) {
-		wait = time.Duration(lateMargin * float64(wait))
+	if wait == 0 && now.Before(w.deadline) {
+		if !now.Add(work / 2).Before(w.deadline) {
+			return call.ReasonDeadline, 0
+		}
+		return "", 0
+	}
+	if w.nested || q.inTime(now.Add(wait), w) {
+		if now.Add(wait + work).Before(w.deadline) {
+			return "", 0
+		}
+	} else if q.late(now) < int(lateWaiting*float64(q.limiter.slots)) &&
+		now.Add(time.Duration(lateMargin*float64(wait))+work).Before(w.deadline) {
+		return "", 0
 	}
-	finish := now.Add(wait + work)
-	switch {
-	case !now.Add(work).Before(w.deadline):
+	if !now.Add(work).Before(w.deadline) {
 		return call.ReasonDeadline, 0
-	case !finish.Before(w.deadline) || len(q.waiting) >= queuePerSlot*q.limiter.slots:
-		return call.ReasonShed, q.refusals.after(now, finish.Sub(w.deadline), q.spacing())
 	}
-	return "", 0
+	return call.ReasonShed, q.refusals.after(now, wait, q.spacing())
+}
+
+// late returns how many calls wait that can't make their objectives.
+func (q *queue) late(now time.Time) int {
+	late := 0
+	for _, t := range q.waiting {
+		if !t.left && !t.want.nested && !q.inTime(now, t.want) {
+			late++
+		}
+	}
+	return late
+}
+
+// overflow takes out the call that is the last to run, if more wait than may.
+func (q *queue) overflow(now time.Time) *ticket {
+	if len(q.waiting) <= queuePerSlot*q.limiter.slots {
+		return nil
+	}
+	worst := 0
+	for i, t := range q.waiting {
+		if !q.before(now, t.want, q.waiting[worst].want) {
+			worst = i
+		}
+	}
+	t := q.waiting[worst]
+	q.waiting = append(q.waiting[:worst], q.waiting[worst+1:]...)
+	return t
 }
 
 // spacing is the time in which the upstream has room for one more call.
@@ -186,8 +220,13 @@
 	next time.Time // When the next refused caller should come back.
 }
 
-// afterLeast keeps callers from coming back within a round trip.
-const afterLeast = 20 * time.Millisecond
+const (
+	// afterLeast keeps callers from coming back within a round trip.
+	afterLeast = 20 * time.Millisecond
+	// afterMost bounds how far refused callers are spread: beyond that, most
+	// have given up.
+	afterMost = time.Second
+)
 
 // after returns how long a caller should stay away that could be served in
 // wait, given that one more can be served in each spacing.
@@ -197,5 +236,8 @@
 		at = r.next
 	}
 	r.next = at.Add(spacing)
+	if most := now.Add(afterMost); r.next.After(most) {
+		r.next = most
+	}
 	return at.Sub(now)
 }
