Placement by the probability of missing the objective; configurations compressed in the log

Cause: a fixed price of 100 ms for another data centre kept calls at full upstreams when the call's objective was 150 ms, and sent others away that could have waited; every configuration crossed two links whole. Change: an upstream's cost is the probability that the call misses its objective there, from the told mean and the foreseen wait, plus the price of bytes; the operator's text is deflated in the log.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,9 @@
 	Away time.Duration
 	// Ramp is how long a new upstream gets less than its share: 5 s.
 	Ramp time.Duration
+	// AwayCost is what a call with a latency objective costs more in another data
+	// centre, as a part of what it costs when the objective is missed: 0.1.
+	AwayCost float64
 	// Eject is how long an upstream that fails is left out at first: 1 s.
 	Eject time.Duration
 	// Near and Far are how many upstreams are drawn from the own data centre and
@@ -77,6 +81,9 @@
 	if c.Eject == 0 {
 		c.Eject = time.Second
 	}
+	if c.AwayCost == 0 {
+		c.AwayCost = 0.1
+	}
 	if c.Near == 0 {
 		c.Near = 2
 	}
@@ -88,28 +95,34 @@
 
 func keyOf(t feed.Target) key { return key{host: t.Host, id: t.ID, incarnation: t.Incarnation} }
 
+// Query is what is known of a call that looks for an upstream.
+type Query struct {
+	Skip      map[string]bool // Upstreams that refused it already, as "host/id".
+	Objective time.Duration   // What is left of its latency objective.
+	Bound     bool            // Whether it has one.
+}
+
 // Pick chooses among targets at now and counts the call as running there; the
-// caller must call Done. skip holds upstreams that refused this call already.
-// draw gives random numbers in [0, 1). It returns false if there is none.
+// caller must call Done. draw gives random numbers in [0, 1). It returns false if there is none.
 //
 // Some upstreams of the own data centre and some of the others are drawn, and
 // the one that is likely to answer first is taken, so that calls stay near
 // until that costs more than going away.
-func (b *Balancer) Pick(now time.Time, targets []feed.Target, skip map[string]bool, draw func() float64) (feed.Target, bool) {
+func (b *Balancer) Pick(now time.Time, q Query, targets []feed.Target, draw func() float64) (feed.Target, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.sweep(now)
-	near, away := b.usable(now, targets, skip)
+	near, away := b.usable(now, targets, q.Skip)
 	var drawn []feed.Target
 	drawn = append(drawn, sample(near, b.config.Near, draw)...)
 	drawn = append(drawn, sample(away, b.config.Near+b.config.Far-len(drawn), draw)...)
 	if len(drawn) == 0 {
 		return feed.Target{}, false
 	}
-	best := drawn[0]
-	for _, t := range drawn[1:] {
-		if b.score(now, t, draw) < b.score(now, best, draw) {
-			best = t
+	best, least := drawn[0], math.Inf(1)
+	for _, t := range drawn {
+		if cost := b.cost(now, q, t, draw); cost < least {
+			best, least = t, cost
 		}
 	}
 	s := b.state(keyOf(best))
@@ -157,8 +170,13 @@
 	return mixed[:count]
 }
 
-// score is the time in which a target is likely to answer, in seconds.
-func (b *Balancer) score(now time.Time, t feed.Target, draw func() float64) float64 {
+// outlook is how an upstream is likely to serve one more call.
+type outlook struct {
+	wait    float64 // Seconds until the call runs.
+	service float64 // Seconds that it runs.
+}
+
+func (b *Balancer) outlook(now time.Time, t feed.Target) outlook {
 	running, limit, service := 0, t.Slots, firstService
 	if s := b.states[keyOf(t)]; s != nil {
 		running = s.running
@@ -171,23 +189,62 @@
 			running += max(0, others)
 		}
 	}
-	busy := float64(running+1) / float64(limit)
-	seconds := service.Seconds() * (1 + crowding*busy)
-	if busy > 1 {
-		seconds += service.Seconds() * (busy - 1)
+	o := outlook{service: service.Seconds()}
+	if running >= limit {
+		o.wait = o.service * float64(running-limit+1) / float64(limit)
+	}
+	o.service *= 1 + crowding*float64(running+1)/float64(limit)
+	return o
+}
+
+// cost compares targets: the lower the better. For a call with an objective it
+// is about the probability of missing it, and otherwise the seconds to an
+// answer.
+func (b *Balancer) cost(now time.Time, q Query, t feed.Target, draw func() float64) float64 {
+	o := b.outlook(now, t)
+	seconds := o.wait + o.service
+	ramp := b.ramped(now, t)
+	cold := draw() > ramp
+	if !q.Bound {
+		if t.Zone != b.config.Zone {
+			seconds += b.config.Away.Seconds()
+		}
+		if cold {
+			seconds /= ramp
+		}
+		return seconds
 	}
+	cost := missed(o, q.Objective.Seconds()) + tieWeight*seconds
 	if t.Zone != b.config.Zone {
-		seconds += b.config.Away.Seconds()
+		cost += b.config.AwayCost
 	}
-	if part := b.ramped(now, t); draw() > part {
-		seconds *= 1 / part
+	if cold {
+		cost += coldCost
 	}
-	return seconds
+	return cost
 }
 
-// crowding is how much longer a call takes at an upstream whose slots are all
-// busy, as a part of its time.
-const crowding = 0.3
+const (
+	// crowding is how much longer a call takes at an upstream whose slots are
+	// all busy, as a part of its time.
+	crowding = 0.3
+	// tieWeight is the cost of a second, so that among upstreams that all make
+	// or all miss an objective the faster one is taken.
+	tieWeight = 0.2
+	// coldCost is the cost of an upstream that has just come.
+	coldCost = 0.5
+	// tail is the scale of the distribution of the time of calls above their
+	// mean, as a part of the mean.
+	tail = 0.85
+)
+
+// missed returns about the probability that a call misses an objective.
+func missed(o outlook, left float64) float64 {
+	if left <= o.wait {
+		return 1
+	}
+	return math.Exp(-(left - o.wait) / (tail * o.service))
+}
 
 // ramped returns the part of its share that a target gets, which grows while
 // it is new.
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -140,7 +140,11 @@
 
 func (e *Entry) pickTarget(now time.Time, c *routed, version string, skip map[string]bool) (feed.Target, bool) {
 	targets := e.config.Hub.View().Targets(c.service, version)
-	return e.balancer.Pick(now, targets, skip, e.config.Draw)
+	query := balance.Query{Skip: skip}
+	if until := c.objective(); !until.IsZero() {
+		query.Objective, query.Bound = until.Sub(now), true
+	}
+	return e.balancer.Pick(now, query, targets, e.config.Draw)
 }
 
 // shouldPassOver reports whether an upstream's own shedding should be answered
--- a/internal/source/replace.go
+++ b/internal/source/replace.go
@@ -1,8 +1,13 @@
 package source
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/endivewalk/endivewalk/internal/ledger"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
@@ -25,9 +30,13 @@
 	if err != nil {
 		return ledger.Outcome{}, err
 	}
+	origin, err := pack(r.Origin)
+	if err != nil {
+		return ledger.Outcome{}, err
+	}
 	command := ledger.Command{
 		Request: r.Request, Operator: r.Operator,
-		Replace: &ledger.Replace{Base: r.Base, Version: r.Whole.Version, Origin: r.Origin},
+		Replace: &ledger.Replace{Base: r.Base, Version: r.Whole.Version, Origin: origin},
 	}
 	return n.decideHere(proposal{command: command, objects: objects})
 }
@@ -42,6 +51,33 @@
 	p.command.Replace = &replace
 }
 
+// pack compresses a configuration for the log and the disks.
+func pack(data []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errs.New("source: compress: %v", err)
+	}
+	if _, err = w.Write(data); err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		return nil, errs.New("source: compress: %v", err)
+	}
+	return b.Bytes(), nil
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	if packed == nil {
+		return nil, nil
+	}
+	data, err := io.ReadAll(flate.NewReader(bytes.NewReader(packed)))
+	if err != nil {
+		return nil, errs.New("source: decompress: %v", err)
+	}
+	return data, nil
+}
+
 // Leading returns the replica that leads, and whether one is known.
 func (n *Node) Leading() (Member, bool) {
 	name := n.Leader()
@@ -80,7 +116,8 @@
 			read = Whole{Version: a.state.Version(), Origin: a.state.Origin()}
 		})
 		if reached {
-			return read, nil
+			read.Origin, err = unpack(read.Origin)
+			return read, err
 		}
 		if n.config.Clock().Sub(began) > readWait || !n.pause(readPause) {
 			return Whole{}, ErrNoLeader
