--- a/internal/daemon/brake.go
+++ b/internal/daemon/brake.go
@@ -11,9 +11,9 @@
 
 const (
 	brakePause = 100 * time.Millisecond
-	// tellEvery is how many judgements of its own a daemon makes for each
-	// report of its evidence, which keeps control bytes within bounds.
-	tellEvery = 10
+	// defaultTell is the time between two reports of a daemon's evidence, which
+	// keeps control bytes within bounds.
+	defaultTell = time.Second
 )
 
 // brakes holds the moves whose new version this daemon has stopped calling. A
@@ -58,7 +58,7 @@
 			continue
 		}
 		report := d.evidence.Report()
-		if round%tellEvery == 0 {
+		if round%max(1, int(d.config.Tell/brakePause)) == 0 {
 			d.hub.MergeEvidence("", report)
 		}
 		for service, m := range running {
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -44,6 +44,7 @@
 	Draw    func() float64 // Random numbers in [0, 1).
 	Dial    peer.Dial
 	Policy  move.Policy
+	Tell    time.Duration // Between two reports of evidence on a move: 1 s.
 	Retries caller.RetryPolicy
 	Balance balance.Config // Zone is filled in.
 	// NewSender and FixedLimit are those of upstream.Config.
@@ -67,6 +68,9 @@
 const defaultLinger = 3 * time.Second
 
 func (c Config) withDefaults() Config {
+	if c.Tell == 0 {
+		c.Tell = defaultTell
+	}
 	if c.Linger == 0 {
 		c.Linger = defaultLinger
 	}
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -24,6 +24,9 @@
 	// Proof is how many calls of the new version a step needs before the next.
 	// A service with little traffic needs fewer.
 	Proof int64
+	// DoneAt is the part of the time after which a proved move is done. What is
+	// left must do for the change to be in force before the deadline: 0.97.
+	DoneAt float64
 }
 
 // DefaultLadder dwells on small shares, so that a version that is bad at once
@@ -31,9 +34,7 @@
 var DefaultLadder = []int{5, 10, 50, 200, 500, 900}
 
 const (
-	// doneAt is the part of the time after which a proved move is done. It
-	// leaves time for the change to be in force before the deadline.
-	doneAt = 0.97
+	defaultDoneAt = 0.97
 	// proofPart is the part of a service's calls during a move that a step's
 	// proof may take.
 	proofPart = 0.01
@@ -54,6 +55,9 @@
 	if p.Proof == 0 {
 		p.Proof = 50
 	}
+	if p.DoneAt == 0 {
+		p.DoneAt = defaultDoneAt
+	}
 	return p
 }
 
@@ -210,7 +214,7 @@
 	plan := j.plan(now, m)
 	i := slices.IndexFunc(plan.ladder, func(share int) bool { return share > m.Share })
 	switch {
-	case i < 0 && !now.Before(at(m, doneAt)):
+	case i < 0 && !now.Before(at(m, j.policy.DoneAt)):
 		return finish(d, "in time, and nothing speaks against the new version")
 	case i < 0:
 		return d
