Quorum: one probe at a time after a rejected append; parents give way to urgent calls; sooner first election

Cause: after a rejected append the leader sent the whole rest of its log; each message of it was rejected and had it all sent again. Change: while it is not known where a log agrees, one append is sent at a time and other rejections are passed over. Gates tell nested calls which part of the more urgent calls found room, and the parents' gates let through that part. The first election comes three times as soon.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -69,6 +69,7 @@
 	ReasonKeyLost     Reason = "key-lost"       // The first run's answer is not known.
 	ReasonTooLarge    Reason = "body-too-big"   // A keyed call's body is over the limit.
 	ReasonLeaving     Reason = "daemon-leaving" // This daemon takes no new calls.
+	ReasonYield       Reason = "yield"          // A service that the call needs has no room for it.
 )
 
 // statuses maps each reason to the HTTP status it is answered with.
@@ -148,12 +149,17 @@
 	Queued  int
 	Limit   int           // How many calls may run at once.
 	Service time.Duration // A running mean of the time that one call takes.
+	// Granted is, in thousandths, which part of the calls that are at least as
+	// urgent as the parent of a nested call found a slot lately; 0 if not told.
+	Granted int
 }
 
+const loadFields = 5
+
 // String returns the load in the form that ParseLoad reads.
 func (l Load) String() string {
 	b := make([]byte, 0, 32)
-	for i, n := range [4]int64{int64(l.Running), int64(l.Queued), int64(l.Limit), l.Service.Microseconds()} {
+	for i, n := range [loadFields]int64{int64(l.Running), int64(l.Queued), int64(l.Limit), l.Service.Microseconds(), int64(l.Granted)} {
 		if i > 0 {
 			b = append(b, ' ')
 		}
@@ -167,7 +173,7 @@
 
 // ParseLoad reads a load header.
 func ParseLoad(s string) (Load, error) {
-	var n [4]int64
+	var n [loadFields]int64
 	rest := s
 	for i := range n {
 		end := 0
@@ -184,5 +190,5 @@
 	if rest != "" {
 		return Load{}, ErrBadLoad
 	}
-	return Load{Running: int(n[0]), Queued: int(n[1]), Limit: int(n[2]), Service: time.Duration(n[3]) * time.Microsecond}, nil
+	return Load{Running: int(n[0]), Queued: int(n[1]), Limit: int(n[2]), Service: time.Duration(n[3]) * time.Microsecond, Granted: int(n[4])}, nil
 }
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -92,6 +92,7 @@
 	body     *callBody
 	caller   string // The service beside which the call began.
 	rank     call.Rank
+	parent   *Parent
 }
 
 // ServeHTTP answers a call.
--- a/internal/caller/host.go
+++ b/internal/caller/host.go
@@ -18,7 +18,14 @@
 type Asked struct {
 	Patience time.Duration // How long the caller waits for an answer; 0 if not known.
 	Caller   string        // The service beside which the call began.
-	Nested   bool          // Made by an upstream while it works on another call.
+	Parent   *Parent       // Set if an upstream makes the call while it works on another.
+}
+
+// Parent is a call that runs at the upstream beside the entry and made another.
+type Parent struct {
+	Upstream string
+	Route    string
+	Priority int
 }
 
 // Dispatch routes a call by its host and path, and returns the answer of an
@@ -65,13 +72,18 @@
 	if err != nil {
 		return nil, call.Refuse(call.ReasonBadCall)
 	}
-	return &routed{
+	elapsed := e.patience.elapsed(route.Name(), a.Patience)
+	c := &routed{
 		request: r, route: route, state: state, deadline: now.Add(timeout), body: body,
-		elapsed: e.patience.elapsed(route.Name(), a.Patience),
+		elapsed: elapsed,
 		service: e.splits.pick(route, e.config.Draw), caller: a.Caller,
-		rank:  call.Rank{Nested: a.Nested, Priority: route.Priority()},
-		began: now,
-	}, nil
+		rank:   call.Rank{Priority: route.Priority(), Again: elapsed > 0},
+		parent: a.Parent, began: now,
+	}
+	if a.Parent != nil {
+		c.rank.Nested, c.rank.Parent = true, a.Parent.Priority
+	}
+	return c, nil
 }
 
 // hostName returns a Host header without its port.
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -28,7 +28,7 @@
 			Upstream: t.ID, Method: c.request.Method, Host: c.request.Host, URL: c.request.URL, Header: c.request.Header,
 			Body: c.body.open(), Length: c.body.length(), Key: c.key,
 			Repeat: c.route.Repeatable(), Deadline: c.deadline, Until: c.until,
-			Route: c.route.Name(), Caller: c.caller, Nested: c.rank.Nested, Priority: c.rank.Priority,
+			Route: c.route.Name(), Caller: c.caller, Rank: c.rank,
 			Objective: c.objective(),
 		})
 	}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -43,6 +43,7 @@
 			err = call.Unknown(call.ReasonBroken)
 		}
 		e.finish(c, now, target, move, answer, err)
+		c.rank.Again = true
 		if err == nil {
 			reached++
 			if !e.shouldPassOver(c, answer) || reached >= c.attempts() || !e.mayRetry(c) {
@@ -158,6 +159,9 @@
 
 // mayRepeat reports whether a call may be sent again after a refusal.
 func (e *Entry) mayRepeat(c *routed, r *call.Refusal) bool {
+	if r.Reason == call.ReasonYield {
+		return false // Other gates let calls through in the same proportion.
+	}
 	if r.Run == call.RunNot {
 		return c.body.rewindable()
 	}
@@ -200,6 +204,9 @@
 		failed = a.Status >= http.StatusInternalServerError
 	}
 	e.balancer.Done(now, t, result)
+	if c.parent != nil && result.Load.Granted > 0 {
+		e.config.Gate.Tell(now, c.parent.Upstream, c.parent.Route, float64(result.Load.Granted)/config.FullShare)
+	}
 	if move == nil || (err != nil && !failed) {
 		return
 	}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -10,6 +10,10 @@
 
 const defaultBatch = 256
 
+// startPart is how many times sooner than usual a replica that has just started
+// looks for a leader.
+const startPart = 3
+
 // progress is what a leader knows of another member.
 type progress struct {
 	match  Index // The last index known to be synced there.
@@ -17,6 +21,12 @@
 	round  uint64
 	active time.Time // When it last answered.
 	sent   time.Time // When a snapshot was last sent.
+	// probing is set while it is not known where the member's log agrees. Then
+	// one append at a time is sent, and next stays where it is: if everything
+	// behind it were sent too, each message of it would be rejected, and each
+	// rejection would have it all sent again.
+	probing bool
+	probed  bool // The probe has been sent in this round.
 }
 
 // Core is one replica's part in the agreement.
@@ -76,6 +86,8 @@
 	c.synced = c.log.last()
 	c.memberChanges++
 	c.resetElection(now)
+	// After a restart nobody is known to lead, and a pre-vote disturbs no leader.
+	c.electionAt = now.Add(c.electionAt.Sub(now) / startPart)
 	return c
 }
 
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -13,6 +13,9 @@
 		if m.ID == c.config.ID {
 			continue
 		}
+		if p := c.progress[m.ID]; p != nil {
+			p.probed = false
+		}
 		if !c.sendAppend(m.ID) {
 			c.sendSnapshot(m.ID, now)
 		}
@@ -24,7 +27,7 @@
 func (c *Core) sendPending() {
 	for _, m := range c.members() {
 		p := c.progress[m.ID]
-		if m.ID == c.config.ID || p == nil || p.next > c.log.last() {
+		if m.ID == c.config.ID || p == nil || p.next > c.log.last() || p.probing && p.probed {
 			continue
 		}
 		c.sendAppend(m.ID)
@@ -44,7 +47,11 @@
 		return false
 	}
 	entries := c.log.slice(p.next, c.config.BatchSize)
-	p.next += Index(len(entries))
+	if p.probing {
+		p.probed = true
+	} else {
+		p.next += Index(len(entries))
+	}
 	c.send(Message{
 		Kind: MessageAppend, To: id, LogIndex: previous, LogTerm: term,
 		Entries: entries, Commit: c.commit, Round: c.round,
@@ -175,9 +182,14 @@
 	}
 	p.active = now
 	if m.Reject {
+		if p.probing && m.LogIndex != p.next-1 {
+			return // The answer to an earlier message.
+		}
 		p.next = max(p.match+1, min(m.LogIndex, m.Hint+1))
+		p.probing, p.probed = true, false
 		return
 	}
+	p.probing, p.probed = false, false
 	p.round = max(p.round, m.Round)
 	p.match = max(p.match, min(m.LogIndex, c.log.last()))
 	p.next = max(p.next, p.match+1)
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -36,13 +36,15 @@
 
 	Route     string
 	Caller    string    // The service beside which the call began.
-	Nested    bool      // Made by an upstream while it works on another call.
-	Priority  int       // 0 is the most urgent.
+	Rank      call.Rank // Its objective is given by Objective.
 	Objective time.Time // Until when an answer is worth most; zero if not known.
 }
 
 func (c Call) want() want {
-	return want{route: c.Route, nested: c.Nested, priority: c.Priority, objective: c.Objective, deadline: c.Deadline}
+	return want{
+		route: c.Route, nested: c.Rank.Nested, parent: c.Rank.Parent, priority: c.Rank.Priority, again: c.Rank.Again,
+		objective: c.Objective, deadline: c.Deadline,
+	}
 }
 
 // Answer is an upstream's answer. The reader must read Body to its end or
@@ -63,6 +65,14 @@
 	}
 }
 
+// Tell takes in which part of the calls that are at least as urgent as those of
+// a route find room at a service that calls of the route need, as 0 to 1.
+func (g *Gate) Tell(now time.Time, id, route string, part float64) {
+	if e := g.entry(id); e != nil {
+		e.lane.tell(now, route, part)
+	}
+}
+
 // Do runs a call at an upstream, once. The error is a *call.Refusal. A refusal
 // that says "not run" means that no byte was sent, or that the upstream said so.
 func (g *Gate) Do(ctx context.Context, c Call) (*Answer, error) {
@@ -126,7 +136,7 @@
 		cancel()
 		e.lane.leave(g.config.Clock(), c.Route, g.config.Clock().Sub(start), failed)
 	}}
-	answer.Load = e.lane.Load()
+	answer.Load = e.lane.LoadFor(c.want())
 	answer.Took = took
 	return answer, nil
 }
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -41,7 +41,7 @@
 	}
 	l.dropHopeless(now)
 	if reason, after := l.queue.admit(now, w); reason != "" {
-		return nil, l.refuse(reason, after)
+		return nil, l.refuseTo(w, reason, after)
 	}
 	t := &ticket{want: w, granted: make(chan *call.Refusal, 1)}
 	l.queue.waiting = append(l.queue.waiting, t)
@@ -59,6 +59,28 @@
 	return r
 }
 
+// refuseTo refuses a call and tells what concerns its parent.
+func (l *lane) refuseTo(w want, reason call.Reason, after time.Duration) *call.Refusal {
+	r := l.refuse(reason, after)
+	r.Load = l.loadFor(w)
+	return r
+}
+
+func (l *lane) loadFor(w want) call.Load {
+	load := l.load()
+	if w.nested {
+		load.Granted = l.queue.grants.part(w.parent)
+	}
+	return load
+}
+
+// tell takes in how calls find room at a service that calls of a route need.
+func (l *lane) tell(now time.Time, route string, part float64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.queue.yielding.tell(now, route, part)
+}
+
 func (l *lane) load() call.Load {
 	q := &l.queue
 	return call.Load{Running: q.running, Queued: len(q.waiting), Limit: q.limiter.limit(), Service: q.limiter.typical()}
@@ -107,6 +129,7 @@
 			continue
 		}
 		l.queue.running++
+		l.queue.grants.grant(now, t.want)
 		t.granted <- nil
 	}
 }
@@ -132,9 +155,16 @@
 	return l.queue.running == 0 && len(l.queue.waiting) == 0
 }
 
-// Load returns what the lane tells with each answer.
+// Load returns the lane's load.
 func (l *lane) Load() call.Load {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	return l.load()
 }
+
+// LoadFor returns what the lane tells with the answer to a call.
+func (l *lane) LoadFor(w want) call.Load {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.loadFor(w)
+}
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -10,7 +10,9 @@
 type want struct {
 	route     string
 	nested    bool // Made by an upstream while it works on another call.
+	parent    int  // The priority of that other call.
 	priority  int  // 0 is the most urgent.
+	again     bool // Another gate was asked before, or the caller comes back.
 	objective time.Time
 	deadline  time.Time
 }
@@ -30,6 +32,8 @@
 	running  int
 	waiting  []*ticket // In the order of their arrival.
 	refusals refusals
+	grants   grants
+	yielding yielding
 }
 
 // workTime is a running mean of what the calls of a route take, in seconds.
@@ -46,7 +50,7 @@
 	lateMargin = 2.0
 	// lateWaiting is how many calls that can't make their objectives may wait
 	// for each slot.
-	lateWaiting = 1.0
+	lateWaiting = 0.4
 	// finishMargin is how many times its mean a call is taken to need, when it
 	// is decided whether it can make its objective.
 	finishMargin = 1.4
@@ -126,6 +130,10 @@
 // admit decides whether a call that comes at now may run or wait. If not, it
 // returns the reason and when the caller should come back.
 func (q *queue) admit(now time.Time, w want) (call.Reason, time.Duration) {
+	q.grants.offer(now, w)
+	if !w.nested && !q.yielding.passes(now, w.route) {
+		return call.ReasonYield, q.refusals.after(now, yieldAfter, q.spacing())
+	}
 	wait := q.wait(now, w)
 	work := q.work(w.route)
 	if wait == 0 && now.Before(w.deadline) {
@@ -223,6 +231,9 @@
 const (
 	// afterLeast keeps callers from coming back within a round trip.
 	afterLeast = 20 * time.Millisecond
+	// yieldAfter is when a caller should come back whose call gave way to more
+	// urgent ones.
+	yieldAfter = 200 * time.Millisecond
 	// afterMost bounds how far refused callers are spread: beyond that, most
 	// have given up.
 	afterMost = time.Second
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -50,7 +50,7 @@
 		Until:    until,
 		Route:    r.Header.Get(call.HeaderRoute),
 		Caller:   r.Header.Get(call.HeaderCaller),
-		Nested:   rank.Nested, Priority: rank.Priority,
+		Rank:     rank,
 	}
 	if rank.Objective != 0 {
 		c.Objective = now.Add(rank.Objective)
