--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -29,6 +29,9 @@
 	pending int           // Requests without a whole answer.
 	idle    chan struct{} // Closed when pending is 0.
 	broken  bool          // No more answers can be written.
+
+	awaiting bool          // The first byte of a request is awaited.
+	idleTime time.Duration // The limit for that; 0 means none.
 }
 
 // meter bounds the bytes of a request's header.
@@ -149,18 +152,34 @@
 // awaitRequest waits for the first byte of a request.
 func (c *serverConn) awaitRequest(limits Limits) bool {
 	c.mutex.Lock()
-	idle := c.pending == 0
+	c.idleTime = limits.IdleTime
+	c.awaiting = true
+	c.limitIdle()
 	c.mutex.Unlock()
-	var deadline time.Time
-	if idle && limits.IdleTime > 0 {
-		deadline = time.Now().Add(limits.IdleTime + idleSlack)
-	}
-	c.conn.SetReadDeadline(deadline)
-	if _, err := c.reader.Peek(1); err != nil {
+	_, err := c.reader.Peek(1)
+	c.mutex.Lock()
+	c.awaiting = false
+	broken := c.broken
+	c.mutex.Unlock()
+	if err != nil {
 		c.hungUp()
 		return false
 	}
-	return !c.isBroken()
+	return !broken
+}
+
+// limitIdle sets how long the next request may take to come: as long as it
+// likes while calls run, and the idle time afterwards. The caller holds the
+// lock.
+func (c *serverConn) limitIdle() {
+	if !c.awaiting {
+		return
+	}
+	var deadline time.Time
+	if c.pending == 0 && c.idleTime > 0 {
+		deadline = time.Now().Add(c.idleTime + idleSlack)
+	}
+	c.conn.SetReadDeadline(deadline)
 }
 
 // hungUp cancels the calls of a caller that has closed the connection.
@@ -256,6 +275,9 @@
 	c.pending--
 	if c.pending == 0 {
 		close(c.idle)
+		if !c.broken {
+			c.limitIdle()
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/http1/server_test.go
@@ -0,0 +1,214 @@
+package http1_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/endivewalk/endivewalk/internal/http1"
+)
+
+const patience = 5 * time.Second
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, c http1.ServerConfig) (*http1.Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := http1.NewServer(c)
+	go s.Serve(l)
+	t.Cleanup(s.Close)
+	return s, l.Addr().String()
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(patience)))
+	return conn, bufio.NewReader(conn)
+}
+
+func read(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response, string(body)
+}
+
+// Pipelined requests run side by side and are answered in their order.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	second := make(chan struct{})
+	_, address := serve(t, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-second // The second call runs while the first does.
+		} else {
+			close(second)
+		}
+		fmt.Fprint(w, r.URL.Path)
+	})})
+	conn, reader := dial(t, address)
+	_, err := conn.Write([]byte("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"))
+	require.NoError(t, err)
+	for _, want := range []string{"/1", "/2"} {
+		_, body := read(t, reader)
+		require.Equal(t, want, body)
+	}
+}
+
+// The context of a call ends when its caller closes the connection.
+func TestHangUpCancelsTheCall(t *testing.T) {
+	begun, ended := make(chan struct{}), make(chan struct{})
+	_, address := serve(t, http1.ServerConfig{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	})})
+	for _, request := range []string{
+		"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		conn, _ := dial(t, address)
+		_, err := conn.Write([]byte(request))
+		require.NoError(t, err)
+		<-begun
+		conn.Close()
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			t.Fatal("the call was not cancelled")
+		}
+	}
+}
+
+// A request with a body, chunked or not, is followed by the next one.
+func TestBodies(t *testing.T) {
+	_, address := serve(t, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/ignored" {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "%s %s", r.URL.Path, body)
+	})})
+	conn, reader := dial(t, address)
+	for _, test := range []struct{ request, want string }{
+		{"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", "/a abc"},
+		{"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", "/b abc"},
+		{"POST /ignored HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", ""},
+		{"GET /c HTTP/1.1\r\nHost: h\r\n\r\n", "/c "},
+	} {
+		_, err := conn.Write([]byte(test.request))
+		require.NoError(t, err)
+		_, body := read(t, reader)
+		require.Equal(t, test.want, body)
+	}
+}
+
+// Requests over a limit or malformed are answered and end the connection.
+func TestRejectedRequests(t *testing.T) {
+	limits := http1.Limits{HeaderBytes: 400, BodyBytes: 10}
+	_, address := serve(t, http1.ServerConfig{
+		Limits: func() http1.Limits { return limits },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if _, err := io.ReadAll(r.Body); err != nil {
+				w.WriteHeader(http.StatusRequestEntityTooLarge)
+			}
+		}),
+	})
+	long := strings.Repeat("x", 600)
+	for _, test := range []struct {
+		request string
+		status  int
+	}{
+		{"GET / HTTP/1.1\r\nHost: h\r\nA: " + long + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat(long, 20) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nabcdefghijk", http.StatusRequestEntityTooLarge},
+		{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nabcdefghijk\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		{"nonsense\r\n\r\n", http.StatusBadRequest},
+	} {
+		conn, reader := dial(t, address)
+		_, err := conn.Write([]byte(test.request))
+		require.NoError(t, err)
+		response, _ := read(t, reader)
+		require.Equal(t, test.status, response.StatusCode, "%.60q", test.request)
+		_, err = reader.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
+
+// An answer whose handler breaks off must not look whole.
+func TestBrokenAnswerIsNotWhole(t *testing.T) {
+	_, address := serve(t, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/length" {
+			w.Header().Set("Content-Length", "10")
+		}
+		io.WriteString(w, "half")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})})
+	for _, path := range []string{"/length", "/chunks"} {
+		conn, reader := dial(t, address)
+		_, err := conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"))
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.ReadAll(response.Body)
+		require.Error(t, err, path)
+	}
+}
+
+// A retired server closes connections with their last answer; a drained one
+// closes idle connections and takes no others.
+func TestDrain(t *testing.T) {
+	hold := make(chan struct{})
+	s, address := serve(t, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-hold
+		}
+	})})
+	idle, idleReader := dial(t, address)
+	_, err := idle.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	require.NoError(t, err)
+	read(t, idleReader)
+	busy, busyReader := dial(t, address)
+	_, err = busy.Write([]byte("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Active() == 1 }, patience, time.Millisecond)
+	s.Drain()
+	_, err = idleReader.ReadByte()
+	require.Error(t, err, "an idle connection is closed")
+	_, err = net.Dial("tcp", address)
+	require.Error(t, err, "no connection is taken any more")
+	close(hold)
+	response, _ := read(t, busyReader)
+	require.True(t, response.Close)
+	require.Eventually(t, func() bool { return s.Open() == 0 }, patience, time.Millisecond)
+}
+
+// A connection that stays idle beyond the limit is closed.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	_, address := serve(t, http1.ServerConfig{
+		Limits:  func() http1.Limits { return http1.Limits{IdleTime: time.Millisecond} },
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+	})
+	conn, reader := dial(t, address)
+	_, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	require.NoError(t, err)
+	read(t, reader)
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -41,9 +41,13 @@
 }
 
 func (c Call) want() want {
+	objective := c.Objective
+	if objective.IsZero() {
+		objective = c.Deadline
+	}
 	return want{
 		route: c.Route, nested: c.Rank.Nested, parent: c.Rank.Parent, priority: c.Rank.Priority, again: c.Rank.Again,
-		objective: c.Objective, deadline: c.Deadline,
+		objective: objective, deadline: c.Deadline,
 	}
 }
 
--- a/internal/upstream/grants.go
+++ b/internal/upstream/grants.go
@@ -112,7 +112,7 @@
 	yieldSlack = 0.04
 	// yieldFactor is how much more is held back than lacks, so that the more
 	// urgent calls do not come off worse.
-	yieldFactor = 1.25
+	yieldFactor = 1.4
 	// yieldLeast is the part that is always let through, by which it is seen
 	// when there is room again.
 	yieldLeast = 0.1
--- /dev/null
+++ b/internal/upstream/grants_test.go
@@ -0,0 +1,78 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The part told to a parent counts calls that are at least as urgent, and the
+// first attempts of each.
+func TestGrantedPart(t *testing.T) {
+	var g grants
+	now := time.Unix(1000, 0)
+	for i := range 100 {
+		urgent, other := want{priority: 1}, want{priority: 3}
+		g.offer(now, urgent)
+		g.offer(now, other)
+		g.offer(now, want{priority: 1, again: true})
+		g.offer(now, want{priority: 1, nested: true})
+		if i%2 == 0 {
+			g.grant(now, urgent)
+		}
+	}
+	require.Equal(t, 500, g.part(1))
+	require.Equal(t, 500, g.part(2))
+	require.Equal(t, 250, g.part(3))
+	require.Zero(t, g.part(0), "no such call came")
+}
+
+// Counts are forgotten, so that a service that has room again says so.
+func TestGrantsAreForgotten(t *testing.T) {
+	var g grants
+	now := time.Unix(1000, 0)
+	for range 100 {
+		g.offer(now, want{})
+	}
+	require.Equal(t, 1, g.part(0))
+	now = now.Add(10 * grantMemory)
+	for range 100 {
+		g.offer(now, want{})
+		g.grant(now, want{})
+	}
+	require.Greater(t, g.part(0), 990)
+}
+
+// A route lets through as much as found room, spread evenly, and all of it once
+// nothing is told any more.
+func TestYielding(t *testing.T) {
+	var y yielding
+	now := time.Unix(1000, 0)
+	passed := 0
+	for range 1000 {
+		y.tell(now, "r", 0.5)
+		if y.passes(now, "r") {
+			passed++
+		}
+	}
+	want := 1000 * (1 - yieldFactor*0.5)
+	require.InDelta(t, want, passed, 60)
+	require.True(t, y.passes(now, "another"))
+	require.True(t, y.passes(now.Add(2*yieldLifetime), "r"))
+}
+
+// A route that is held back far lets some calls through, by which it is seen
+// when there is room again.
+func TestYieldingNeverStopsAll(t *testing.T) {
+	var y yielding
+	now := time.Unix(1000, 0)
+	passed := 0
+	for range 1000 {
+		y.tell(now, "r", 0.001)
+		if y.passes(now, "r") {
+			passed++
+		}
+	}
+	require.Greater(t, passed, 50)
+}
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -25,7 +25,8 @@
 // can still make their objective go first, or all would be late by the same
 // time; calls of upstreams that are at work go before them, since their
 // parents hold slots meanwhile. A call that would wait beyond its deadline is
-// refused when it comes, while its caller can still go elsewhere.
+// refused when it comes, while its caller can still go elsewhere, and one that
+// waits is not given up for newer ones.
 type queue struct {
 	limiter  limiter
 	times    map[string]*workTime
@@ -45,15 +46,15 @@
 const (
 	// timeWeight is the weight of a new call in the mean of its route.
 	timeWeight = 0.05
-	// lateMargin is how many times the foreseen wait must fit for a call that
-	// can't make its objective: calls that can will go before it.
-	lateMargin = 2.0
-	// lateWaiting is how many calls that can't make their objectives may wait
-	// for each slot.
-	lateWaiting = 0.4
-	// finishMargin is how many times its mean a call is taken to need, when it
-	// is decided whether it can make its objective.
-	finishMargin = 1.4
+	// chanceMargin is how many times its mean a call must have left to go on
+	// waiting behind those that can make their objectives.
+	chanceMargin = 1.5
+	// admitMargin and keepMargin are how many times its mean a call is taken to
+	// need, when it is decided whether it can make its objective: when it comes,
+	// and while it waits. A call that was let wait and falls a little short must
+	// not lose its turn to newer ones.
+	admitMargin = 1.7
+	keepMargin  = 0.8
 )
 
 func newQueue(slots int) queue {
@@ -85,15 +86,19 @@
 }
 
 // inTime reports whether a call that starts at start is likely to make its
-// objective.
-func (q *queue) inTime(start time.Time, w want) bool {
-	if w.objective.IsZero() {
-		return false
-	}
-	need := time.Duration(finishMargin * float64(q.work(w.route)))
+// objective, if it needs margin times the mean of its route.
+func (q *queue) inTime(start time.Time, w want, margin float64) bool {
+	need := time.Duration(margin * float64(q.work(w.route)))
 	return !start.Add(need).After(w.objective)
 }
 
+// lastChance reports whether a call must run soon to be answered by its
+// deadline. A call that has been let wait is not given up for newer ones.
+func (q *queue) lastChance(now time.Time, w want) bool {
+	need := time.Duration(chanceMargin * float64(q.work(w.route)))
+	return !now.Add(need).Before(w.deadline)
+}
+
 // before reports whether a goes before b at now.
 func (q *queue) before(now time.Time, a, b want) bool {
 	if a.nested != b.nested {
@@ -102,8 +107,11 @@
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
-	early := q.inTime(now, a)
-	if early != q.inTime(now, b) {
+	if last := q.lastChance(now, a); last != q.lastChance(now, b) {
+		return last
+	}
+	early := q.inTime(now, a, keepMargin)
+	if early != q.inTime(now, b, keepMargin) {
 		return early
 	}
 	if early {
@@ -128,7 +136,8 @@
 }
 
 // admit decides whether a call that comes at now may run or wait. If not, it
-// returns the reason and when the caller should come back.
+// returns the reason and when the caller should come back. A call that would
+// miss its objective by waiting runs only if a slot is free.
 func (q *queue) admit(now time.Time, w want) (call.Reason, time.Duration) {
 	q.grants.offer(now, w)
 	if !w.nested && !q.yielding.passes(now, w.route) {
@@ -142,12 +151,7 @@
 		}
 		return "", 0
 	}
-	if w.nested || q.inTime(now.Add(wait), w) {
-		if now.Add(wait + work).Before(w.deadline) {
-			return "", 0
-		}
-	} else if q.late(now) < int(lateWaiting*float64(q.limiter.slots)) &&
-		now.Add(time.Duration(lateMargin*float64(wait))+work).Before(w.deadline) {
+	if (w.nested || q.inTime(now.Add(wait), w, admitMargin)) && now.Add(wait+work).Before(w.deadline) {
 		return "", 0
 	}
 	if !now.Add(work).Before(w.deadline) {
@@ -156,17 +160,6 @@
 	return call.ReasonShed, q.refusals.after(now, wait, q.spacing())
 }
 
-// late returns how many calls wait that can't make their objectives.
-func (q *queue) late(now time.Time) int {
-	late := 0
-	for _, t := range q.waiting {
-		if !t.left && !t.want.nested && !q.inTime(now, t.want) {
-			late++
-		}
-	}
-	return late
-}
-
 // overflow takes out the call that is the last to run, if more wait than may.
 func (q *queue) overflow(now time.Time) *ticket {
 	if len(q.waiting) <= queuePerSlot*q.limiter.slots {
