Decision log within budgets; counters and histograms as text

Each refusal, retry, failed upstream and answer to a call that must not be repeated is a line with the attempt's id and what decided it; one in 16 of the other answers, chosen by the id. Lines have a budget a second by class; what is dropped is told.

--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -14,6 +14,7 @@
 	"github.com/endivewalk/endivewalk/internal/evidence"
 	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/logs"
 	"github.com/endivewalk/endivewalk/internal/upstream"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
@@ -39,6 +40,7 @@
 	// Without it, their keys are passed on to the upstream and nothing more.
 	Claims  *claim.Taker
 	Retries RetryPolicy
+	Calls   *logs.Calls    // Nil means that calls are not logged.
 	Balance balance.Config // Zone is filled in.
 }
 
@@ -93,6 +95,7 @@
 	caller   string // The service beside which the call began.
 	rank     call.Rank
 	parent   *Parent
+	id       string // Of the caller's attempt.
 }
 
 // ServeHTTP answers a call.
--- a/internal/caller/host.go
+++ b/internal/caller/host.go
@@ -16,6 +16,7 @@
 
 // Asked is what is known of a call besides the request itself.
 type Asked struct {
+	ID       string        // Of the caller's attempt, for the log.
 	Patience time.Duration // How long the caller waits for an answer; 0 if not known.
 	Caller   string        // The service beside which the call began.
 	Parent   *Parent       // Set if an upstream makes the call while it works on another.
@@ -33,18 +34,21 @@
 // body to its end or close it.
 func (e *Entry) Dispatch(r *http.Request, a Asked) (*upstream.Answer, error) {
 	e.config.Counters.Add("calls", 1)
+	began := e.config.Clock()
 	c, refusal := e.admitHost(r, a)
-	if refusal == nil {
-		defer c.body.release()
-		answer, err := e.serve(c)
-		if err == nil {
-			e.config.Counters.Add("calls_answered", 1)
-			return answer, nil
-		}
+	if refusal != nil {
+		e.noteRefused(r, a, nil, began, refusal)
+		return nil, refusal
+	}
+	defer c.body.release()
+	answer, err := e.serve(c)
+	if err != nil {
 		refusal = call.AsRefusal(err)
+		e.noteRefused(r, a, c, began, refusal)
+		return nil, refusal
 	}
-	e.config.Counters.Add("calls_refused_"+string(refusal.Reason), 1)
-	return nil, refusal
+	e.noteAnswered(c, began, answer)
+	return answer, nil
 }
 
 // admitHost finds the route of a call and the service that gets it.
@@ -74,7 +78,7 @@
 	}
 	elapsed := e.patience.elapsed(route.Name(), a.Patience)
 	c := &routed{
-		request: r, route: route, state: state, deadline: now.Add(timeout), body: body,
+		id: a.ID, request: r, route: route, state: state, deadline: now.Add(timeout), body: body,
 		elapsed: elapsed,
 		service: e.splits.pick(route, e.config.Draw), caller: a.Caller,
 		rank:   call.Rank{Priority: route.Priority(), Again: elapsed > 0},
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -50,6 +50,7 @@
 				passed.Drop()
 				return answer, nil
 			}
+			e.noteTry(c, target, e.config.Clock(), answer.Status)
 			passed.Drop()
 			passed = answer
 			continue
@@ -64,6 +65,7 @@
 		if !e.costsNobody(c, refusal) && !e.mayRetry(c) {
 			return instead(passed, refusal)
 		}
+		e.noteTry(c, target, e.config.Clock(), refusal.Reason)
 	}
 }
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -14,6 +14,7 @@
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/internal/logs"
 	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/upstream"
@@ -47,6 +48,9 @@
 	Tell    time.Duration // Between two reports of evidence on a move: 1 s.
 	Retries caller.RetryPolicy
 	Balance balance.Config // Zone is filled in.
+	// Calls logs calls, and CallID tells what their IDs are. Both may be nil.
+	Calls  *logs.Calls
+	CallID func(http.Header) string
 	// NewSender and FixedLimit are those of upstream.Config.
 	NewSender  func(upstream.Announcement) upstream.Sender
 	FixedLimit bool
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,13 +70,13 @@
 		Floor: feed.FloorConfig{Keepers: c.Keepers, Proved: d.noteProved},
 	}, d.hub)
 	d.gate = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, Changed: d.renewRecord,
-		NewSender: c.NewSender, Fixed: c.FixedLimit,
+		NewSender: c.NewSender, Fixed: c.FixedLimit, Calls: c.Calls, CallID: c.CallID,
 	})
 	d.entry = caller.New(caller.Config{
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Draw: c.Draw, Ready: d.hub.Ready,
 		Hub: d.hub, Gate: d.gate, Evidence: d.evidence, Counters: c.Counters,
 		Charge: d.charge, Braked: d.brakes.braked, Claims: d.newTaker(incarnation),
-		Retries: c.Retries, Balance: c.Balance,
+		Retries: c.Retries, Balance: c.Balance, Calls: c.Calls,
 	})
 	if err := d.listen(); err != nil {
 		d.closeServers()
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,78 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/endivewalk/endivewalk/internal/logs"
+)
+
+// buffer is an output that can be held up.
+type buffer struct {
+	hold  chan struct{}
+	mutex sync.Mutex
+	bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	<-b.hold
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// A writer whose output is held up drops lines and counts them; nobody waits.
+func TestWriterNeverBlocks(t *testing.T) {
+	out := &buffer{hold: make(chan struct{})}
+	w := logs.NewWriter(logs.Config{Out: out, Lines: 10, Every: time.Millisecond})
+	line := []byte("line\n")
+	require.Eventually(t, func() bool {
+		n, err := w.Write(line)
+		require.NoError(t, err)
+		require.Equal(t, len(line), n)
+		return w.Dropped() > 0
+	}, 5*time.Second, time.Millisecond)
+	close(out.hold)
+	w.Close()
+	require.GreaterOrEqual(t, strings.Count(out.String(), "line\n"), 10)
+}
+
+// Close writes what waits.
+func TestCloseWritesAll(t *testing.T) {
+	out := &buffer{hold: make(chan struct{})}
+	close(out.hold)
+	w := logs.NewWriter(logs.Config{Out: out, Every: time.Hour})
+	logs.New(w, "p", func() time.Time { return time.Unix(0, 0).UTC() }).Log("msg", "hello", "n", 1)
+	w.Close()
+	require.Equal(t, "at=00:00:00.000 process=p msg=hello n=1\n", out.String())
+}
+
+// Each class has a bound of its own, and what was dropped is told.
+func TestCallsAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var lines []string
+	c := logs.NewCalls(logFunc(func(keyvals ...any) { lines = append(lines, keyvals[1].(string)) }), func() time.Time { return now })
+	for range 1000 {
+		c.Log(logs.ClassAnswer, "msg", "answered")
+	}
+	c.Log(logs.ClassRefusal, "msg", "refused")
+	require.Less(t, len(lines), 100)
+	require.Equal(t, "refused", lines[len(lines)-1])
+	now = now.Add(time.Second)
+	c.Log(logs.ClassAnswer, "msg", "answered")
+	require.Equal(t, []string{"lines dropped", "answered"}, lines[len(lines)-2:])
+	var none *logs.Calls
+	none.Log(logs.ClassAnswer, "msg", "nothing")
+}
+
+type logFunc func(keyvals ...any)
+
+func (f logFunc) Log(keyvals ...any) error {
+	f(keyvals...)
+	return nil
+}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -12,6 +12,7 @@
 
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/logs"
 )
 
 func sortUpstreams(all []directory.Upstream) {
@@ -85,10 +86,15 @@
 		g.config.Counters.Add("gate_refused_absent", 1)
 		return nil, call.Refuse(call.ReasonDraining)
 	}
+	came := g.config.Clock()
 	if refusal := g.wait(ctx, e, c); refusal != nil {
 		g.config.Counters.Add("gate_refused_"+string(refusal.Reason), 1)
+		g.config.Calls.Log(logs.ClassRefusal, "msg", "gate refused", "id", g.config.CallID(c.Header), "upstream", c.Upstream,
+			"route", c.Route, "reason", refusal.Reason, "waited", g.config.Clock().Sub(came), "left", c.Deadline.Sub(came),
+			"nested", c.Rank.Nested, "priority", c.Rank.Priority, "retryAfter", refusal.After, "load", refusal.Load)
 		return nil, refusal
 	}
+	g.config.Counters.Observe("gate_wait", "service", e.said.Service, g.config.Clock().Sub(came))
 	return g.run(ctx, e, c)
 }
 
@@ -134,8 +140,12 @@
 		refusal := call.AsRefusal(err)
 		refusal.Load = e.lane.leave(g.config.Clock(), c.Route, took, true)
 		g.config.Counters.Add("gate_failed_"+string(refusal.Reason), 1)
+		g.config.Calls.Log(logs.ClassRefusal, "msg", "upstream failed", "id", g.config.CallID(c.Header), "upstream", c.Upstream,
+			"address", e.said.Address, "route", c.Route, "run", refusal.Run, "reason", refusal.Reason, "took", took,
+			"left", c.Deadline.Sub(start), "cancelled", ctx.Err() == context.Canceled)
 		return nil, refusal
 	}
+	g.config.Counters.Observe("upstream", "service", e.said.Service, took)
 	answer.Body = &answerBody{ReadCloser: answer.Body, done: func(failed bool) {
 		cancel()
 		e.lane.leave(g.config.Clock(), c.Route, g.config.Clock().Sub(start), failed)
--- a/internal/upstream/gate.go
+++ b/internal/upstream/gate.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/internal/logs"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -84,6 +86,9 @@
 	// NewSender returns what sends calls to an upstream. Nil means HTTP with the
 	// system's own headers.
 	NewSender func(Announcement) Sender
+	Calls     *logs.Calls // Nil means that calls are not logged.
+	// CallID returns the ID of a call for the log; nil means that there is none.
+	CallID func(http.Header) string
 	// Fixed keeps the limit of an upstream at its slots. Otherwise it is lowered
 	// while calls take long, which suits upstreams whose calls are alike.
 	Fixed bool
@@ -100,6 +105,9 @@
 
 // New returns a gate that knows no upstream.
 func New(c Config) *Gate {
+	if c.CallID == nil {
+		c.CallID = func(http.Header) string { return "" }
+	}
 	if c.NewSender == nil {
 		c.NewSender = newHTTPSender
 	}
