--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -41,27 +41,39 @@
 // they can't pile up on upstreams that are failing already. The zero value is
 // ready, and it is safe for concurrent use.
 type retryBudgets struct {
-	mutex sync.Mutex
-	spent map[string]float64 // By service; what is left of the savings may be spent.
+	mutex  sync.Mutex
+	credit map[string]float64 // By service; a retry costs 1.
 }
 
-func (b *retryBudgets) earn(service string, part float64) {
+// earn credits a call to a service. saved is what may be saved up; a daemon of
+// a large fleet whose part of it is less than a retry saves up for one.
+func (b *retryBudgets) earn(service string, part, saved float64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.spent[service] > 0 {
-		b.spent[service] = max(0, b.spent[service]-part)
-	}
+	b.set(service, min(b.get(service, saved)+part, max(1, saved)))
 }
 
 func (b *retryBudgets) spend(service string, saved float64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.spent[service]+1 > saved {
+	left := b.get(service, saved)
+	if left < 1 {
 		return false
 	}
-	if b.spent == nil {
-		b.spent = map[string]float64{}
-	}
-	b.spent[service]++
+	b.set(service, left-1)
 	return true
 }
+
+func (b *retryBudgets) get(service string, saved float64) float64 {
+	if c, ok := b.credit[service]; ok {
+		return min(c, max(1, saved))
+	}
+	return saved
+}
+
+func (b *retryBudgets) set(service string, credit float64) {
+	if b.credit == nil {
+		b.credit = map[string]float64{}
+	}
+	b.credit[service] = credit
+}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -22,7 +22,7 @@
 
 // serve sends a call to upstreams until one answers or no other may be tried.
 func (e *Entry) serve(c *routed) (*upstream.Answer, error) {
-	e.retries.earn(c.service, e.config.Retries.Part)
+	e.retries.earn(c.service, e.config.Retries.Part, e.retriesSaved())
 	version, move := e.pickVersion(c)
 	skip := map[string]bool{}
 	refusal := call.Refuse(call.ReasonNoUpstream)
@@ -177,10 +177,14 @@
 	return c.route.Repeatable() && c.depth == 0 && c.body.rewindable()
 }
 
+// retriesSaved returns how many retries this daemon may save up for a service.
+func (e *Entry) retriesSaved() float64 {
+	return e.config.Retries.saved(len(e.config.Hub.View().Live()))
+}
+
 // mayRetry takes a retry from the budget.
 func (e *Entry) mayRetry(c *routed) bool {
-	saved := e.config.Retries.saved(len(e.config.Hub.View().Live()))
-	if !e.retries.spend(c.service, saved) {
+	if !e.retries.spend(c.service, e.retriesSaved()) {
 		e.config.Counters.Add("retries_denied", 1)
 		return false
 	}
