--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -27,6 +27,13 @@
 	// DoneAt is the part of the time after which a proved move is done. What is
 	// left must do for the change to be in force before the deadline: 0.97.
 	DoneAt float64
+	// Watch is how long the last share must have been watched before a move is
+	// done.
+	Watch time.Duration
+	// Alarm is the part of its recent calls at which a new version that fails
+	// them is taken back at once. 0 leaves that to the comparison of both
+	// versions at the same time, which is slower at large shares.
+	Alarm float64
 }
 
 // DefaultLadder dwells on small shares, so that a version that is bad at once
@@ -78,6 +85,7 @@
 	// without holds, for each host of the new version, the trials as they
 	// would be if that host did not exist.
 	without map[string]*group
+	alarm   alarm
 	stepAt  int64 // Calls of the new version when the share was set.
 	share   int
 }
@@ -110,6 +118,7 @@
 		hosts[r.Host][r.Route] = h
 	}
 	j.all.look(now, routes)
+	j.alarm.take(now, j.all.total(allRoutes)[newSide])
 	for host, own := range hosts {
 		if j.without[host] == nil {
 			j.without[host] = newGroup()
@@ -156,13 +165,16 @@
 	}
 	found, reason := j.judge(j.bound())
 	late := !now.Before(m.By)
+	raised, why := j.alarm.raised(j.policy.Alarm, j.all.total(allRoutes)[oldSide])
 	switch {
+	case raised:
+		return j.takeBack(d, why)
 	case found == verdictBad, found == verdictUnclear && late:
 		return j.takeBack(d, reason)
 	case slots[newSide] == 0 && m.Share > 0:
 		return j.takeBack(d, "no upstream of the new version is left")
 	case late:
-		return j.atDeadline(d, m, deadline)
+		return j.atDeadline(now, d, m, deadline)
 	case found == verdictUnclear:
 		// Each reason told is a revision, so it is told once.
 		if !strings.HasPrefix(m.Reason, waits) {
@@ -187,9 +199,9 @@
 }
 
 // atDeadline ends a move whose time is up by the policy of its service.
-func (j *Judge) atDeadline(d Decision, m config.Move, deadline string) Decision {
+func (j *Judge) atDeadline(now time.Time, d Decision, m config.Move, deadline string) Decision {
 	last := j.policy.Ladder[len(j.policy.Ladder)-1]
-	if m.Share >= last {
+	if m.Share >= last && j.watched(now, m) {
 		return finish(d, "in time, and nothing speaks against the new version")
 	}
 	if deadline == config.DeadlineTakeBack {
@@ -214,7 +226,7 @@
 	plan := j.plan(now, m)
 	i := slices.IndexFunc(plan.ladder, func(share int) bool { return share > m.Share })
 	switch {
-	case i < 0 && !now.Before(at(m, j.policy.DoneAt)):
+	case i < 0 && !now.Before(at(m, j.policy.DoneAt)) && j.watched(now, m):
 		return finish(d, "in time, and nothing speaks against the new version")
 	case i < 0:
 		return d
@@ -240,6 +252,12 @@
 	return d
 }
 
+// watched reports whether the share has stood for as long as it must be
+// watched.
+func (j *Judge) watched(now time.Time, m config.Move) bool {
+	return now.Sub(m.Since) >= j.policy.Watch
+}
+
 // at returns the moment at which a part of a move's time has passed.
 func at(m config.Move, part float64) time.Time {
 	return m.Start.Add(time.Duration(float64(m.By.Sub(m.Start)) * part))
@@ -249,6 +267,9 @@
 // version, and why. It asks for stronger evidence than Decide does, since each
 // of many daemons asks.
 func (j *Judge) Bad() (bool, string) {
+	if raised, why := j.alarm.raised(j.policy.Alarm, j.all.total(allRoutes)[oldSide]); raised {
+		return true, why
+	}
 	found, reason := j.judge(j.bound() + brakeMore)
 	return found == verdictBad, reason
 }
