A parent that could not be reached is probed aside; dials are shared; only replicas that hold all are fresh

Their preferred parent, a source host gone for good, was tried again each time its pause ended; calls to it queued behind one another's dials (3.9 s), and the second parent was that same host. Change: a failed candidate is probed aside while there is another; the second parent is one that could be reached; calls wait for one shared dial, within their own limit; a replica counts as fresh only while it holds all that is committed; joining asks the leader first.

--- a/internal/feed/parent.go
+++ b/internal/feed/parent.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"time"
 )
 
@@ -15,8 +16,10 @@
 	backoffMost  = 5 * time.Second
 )
 
-// parentChoice decides which parent to pull from. It reads no clock.
+// parentChoice decides which parent to pull from. It reads no clock and is safe
+// for concurrent use. The zero value is ready.
 type parentChoice struct {
+	mutex    sync.Mutex
 	failures map[string]failure
 }
 
@@ -29,29 +32,73 @@
 // choose returns the best candidate that may be asked at now, or how long to
 // wait until one may. If only stale ones are left, the first of them has to
 // do.
-func (p *parentChoice) choose(now time.Time, candidates []string) (address string, wait time.Duration) {
+//
+// A candidate that could not be reached is not asked again while there is
+// another one, since a host without power would hold the daemon up each time;
+// it is returned as the one to probe meanwhile.
+func (p *parentChoice) choose(now time.Time, candidates []string) (address string, wait time.Duration, probe string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	wait = backoffMost
 	stale := ""
 	for _, a := range candidates {
-		f := p.failures[a]
+		f, failed := p.failures[a]
 		left := f.until.Sub(now)
 		switch {
+		case !failed, f.stale && left <= 0:
+			return a, 0, probe
 		case left <= 0:
-			return a, 0
+			if probe == "" {
+				probe = a
+			}
 		case f.stale && stale == "":
 			stale = a
 		case !f.stale:
 			wait = min(wait, left)
 		}
 	}
-	if stale != "" {
-		return stale, 0
+	switch {
+	case stale != "":
+		return stale, 0, probe
+	case probe != "":
+		return probe, 0, ""
 	}
-	return "", wait
+	return "", wait, ""
+}
+
+// second returns the best candidate besides the parent, one that could be
+// reached lately if there is any.
+func (p *parentChoice) second(parent string, candidates []string) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	other := ""
+	for _, a := range candidates {
+		if a == parent {
+			continue
+		}
+		if f, failed := p.failures[a]; !failed || f.stale {
+			return a
+		}
+		if other == "" {
+			other = a
+		}
+	}
+	return other
+}
+
+// probing puts a candidate off while it is probed.
+func (p *parentChoice) probing(now time.Time, address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	f := p.failures[address]
+	f.until = now.Add(backoffMost)
+	p.failures[address] = f
 }
 
 // result notes how a pull went. draw is a random number in [0, 1).
 func (p *parentChoice) result(now time.Time, address string, err error, draw float64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	if p.failures == nil {
 		p.failures = map[string]failure{}
 	}
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -23,6 +23,7 @@
 	reportLeast   = 50 * time.Millisecond // Between two reports.
 	reportMost    = time.Second           // Also without news.
 	refusedPause  = time.Second
+	probeTimeout  = 2 * time.Second
 )
 
 // ChildConfig describes a Child.
@@ -122,7 +123,11 @@
 func (c *Child) RunPull() {
 	for {
 		now := c.config.Clock()
-		address, wait := c.choice.choose(now, c.candidates())
+		address, wait, probe := c.choice.choose(now, c.candidates())
+		if probe != "" {
+			c.choice.probing(now, probe)
+			go c.probe(probe)
+		}
 		if wait > 0 {
 			if !c.pause(wait) {
 				return
@@ -138,6 +143,12 @@
 	}
 }
 
+// probe finds out whether a candidate that could not be reached can be now.
+func (c *Child) probe(address string) {
+	err := c.client(address).Call("Feed.Notice", NoticeArgs{Host: c.config.Host}, &NoticeReply{}, probeTimeout)
+	c.choice.result(c.config.Clock(), address, err, c.config.Draw())
+}
+
 // candidates returns the addresses to pull from, best first.
 func (c *Child) candidates() []string {
 	var all []string
--- a/internal/feed/second.go
+++ b/internal/feed/second.go
@@ -35,13 +35,7 @@
 
 // secondParent returns the best candidate that is not the parent.
 func (c *Child) secondParent() string {
-	parent := c.Parent()
-	for _, address := range c.candidates() {
-		if address != parent {
-			return address
-		}
-	}
-	return ""
+	return c.choice.second(c.Parent(), c.candidates())
 }
 
 // listenTo waits for one notice and acts on it.
@@ -49,7 +43,8 @@
 	have := c.hub.State().Revision()
 	var reply NoticeReply
 	args := NoticeArgs{Host: c.config.Host, Have: have, Wait: noticeWait}
-	if c.client(address).Call("Feed.Notice", args, &reply, noticeTimeout) != nil {
+	if err := c.client(address).Call("Feed.Notice", args, &reply, noticeTimeout); err != nil {
+		c.choice.result(c.config.Clock(), address, err, c.config.Draw())
 		return false
 	}
 	if reply.Revision <= have {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -36,9 +36,17 @@
 	traffic *Traffic
 	mutex   sync.Mutex
 	rpc     *rpc.Client
+	dialing *dialing // Nil unless a connection is being set up.
 	closed  bool
 }
 
+// dialing is the setting up of a connection, for which several calls may wait.
+type dialing struct {
+	done chan struct{} // Closed when rpc and err are set.
+	rpc  *rpc.Client
+	err  error
+}
+
 // NewClient returns a client of the process at address. A nil dial means
 // DialTCP.
 func NewClient(address string, dial Dial, traffic *Traffic) *Client {
@@ -54,13 +62,13 @@
 // Call calls a method and waits for at most timeout. A call that timed out
 // takes the connection with it, since nothing more is known of its other end.
 func (c *Client) Call(method string, args, reply any, timeout time.Duration) error {
-	conn, err := c.connect()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	conn, err := c.connect(timer.C)
 	if err != nil {
 		return err
 	}
 	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
 	select {
 	case <-call.Done:
 	case <-timer.C:
@@ -77,21 +85,51 @@
 	return errs.Combine(ErrUnknown, call.Error)
 }
 
-func (c *Client) connect() (*rpc.Client, error) {
+// connect returns the connection. Calls that need one at the same time wait for
+// the same attempt, so that a host that does not answer holds each of them up
+// for one attempt and not for those of the others too.
+func (c *Client) connect(timeout <-chan time.Time) (*rpc.Client, error) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	if c.closed {
+		c.mutex.Unlock()
 		return nil, ErrUnreachable
 	}
 	if c.rpc != nil {
+		defer c.mutex.Unlock()
 		return c.rpc, nil
 	}
+	d := c.dialing
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		c.dialing = d
+		go c.setUp(d)
+	}
+	c.mutex.Unlock()
+	select {
+	case <-d.done:
+		return d.rpc, d.err
+	case <-timeout:
+		return nil, ErrUnreachable
+	}
+}
+
+// setUp makes one attempt to connect.
+func (c *Client) setUp(d *dialing) {
 	conn, err := c.dial(c.address, dialTimeout)
-	if err != nil {
-		return nil, errs.Combine(ErrUnreachable, err)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.dialing = nil
+	switch {
+	case err != nil:
+		d.err = errs.Combine(ErrUnreachable, err)
+	case c.closed:
+		conn.Close()
+		d.err = ErrUnreachable
+	default:
+		c.rpc = rpc.NewClient(countedConn{Conn: conn, traffic: c.traffic})
+		d.rpc = c.rpc
 	}
-	c.rpc = rpc.NewClient(countedConn{Conn: conn, traffic: c.traffic})
-	return c.rpc, nil
+	close(d.done)
 }
 
 func (c *Client) drop(conn *rpc.Client) {
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -45,6 +45,7 @@
 
 	electionAt  time.Time
 	heardAt     time.Time // When a leader was last heard.
+	currentAt   time.Time // When everything that a leader had committed was held.
 	heartbeatAt time.Time
 	preVote     bool
 	votes       map[string]bool
@@ -121,13 +122,13 @@
 	return 0
 }
 
-// Heard returns when a leader's word last reached this replica. A leader
-// hears itself through a quorum.
+// Heard returns when this replica was last known to hold everything that its
+// leader had committed. A leader hears itself through a quorum.
 func (c *Core) Heard(now time.Time) time.Time {
 	if c.role == RoleLeader {
 		return c.quorumActive(now)
 	}
-	return c.heardAt
+	return c.currentAt
 }
 
 // Propose appends a command to the leader's log.
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -95,6 +95,9 @@
 	c.store(m.Entries)
 	reply.LogIndex = m.LogIndex + Index(len(m.Entries))
 	c.commit = max(c.commit, min(m.Commit, reply.LogIndex))
+	if c.commit >= m.Commit {
+		c.currentAt = now
+	}
 	c.send(reply)
 }
 
--- a/internal/source/join.go
+++ b/internal/source/join.go
@@ -177,9 +177,14 @@
 	return true
 }
 
-// askJoin asks each replica in turn, since only the leader can help.
+// askJoin asks the leader, if one is known, and otherwise each replica in turn,
+// since only the leader can help.
 func (n *Node) askJoin() bool {
-	for _, one := range n.links.all() {
+	ways := n.links.all()
+	if leader := n.links.get(n.Leader()); leader != nil {
+		ways = []*link{leader}
+	}
+	for _, one := range ways {
 		var reply JoinReply
 		err := one.client.Call("Source.Join", JoinArgs{ID: n.id, Address: n.config.Address}, &reply, joinTimeout)
 		if err != nil {
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -136,13 +136,14 @@
 	answer, err := e.sender.Send(ctx, c, c.Deadline.Sub(start))
 	took := g.config.Clock().Sub(start)
 	if err != nil {
+		cancelled := ctx.Err() == context.Canceled // By the caller, who has gone.
 		cancel()
 		refusal := call.AsRefusal(err)
 		refusal.Load = e.lane.leave(g.config.Clock(), c.Route, took, true)
 		g.config.Counters.Add("gate_failed_"+string(refusal.Reason), 1)
 		g.config.Calls.Log(logs.ClassRefusal, "msg", "upstream failed", "id", g.config.CallID(c.Header), "upstream", c.Upstream,
 			"address", e.said.Address, "route", c.Route, "run", refusal.Run, "reason", refusal.Reason, "took", took,
-			"left", c.Deadline.Sub(start), "cancelled", ctx.Err() == context.Canceled)
+			"left", c.Deadline.Sub(start), "cancelled", cancelled)
 		return nil, refusal
 	}
 	g.config.Counters.Observe("upstream", "service", e.said.Service, took)
