--- a/internal/source/links.go
+++ b/internal/source/links.go
@@ -106,3 +106,27 @@
 	}
 	n.hub.SetSources(addresses)
 }
+
+// noteMembers tells the node of the addresses in a new member list.
+func (a *agreement) noteMembers() {
+	if change := a.core.MembersChange(); change != a.members {
+		a.members = change
+		members := a.core.Members()
+		a.node.config.Logger.Log("msg", "members changed", "members", describeMembers(members))
+		a.node.learnMembers(members)
+	}
+}
+
+func describeMembers(members []quorum.Member) string {
+	text := ""
+	for _, m := range members {
+		if text != "" {
+			text += ","
+		}
+		text += m.ID
+		if !m.Voter {
+			text += "(learner)"
+		}
+	}
+	return text
+}
