--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -45,7 +44,7 @@
 	response, err := e.gates.client(t.Gate).RoundTrip(request)
 	if err != nil {
 		cancel()
-		return nil, lost(ctx, sent.Load())
+		return nil, call.Lost(ctx, sent.Load())
 	}
 	body := &cancelBody{ReadCloser: response.Body, cancel: cancel}
 	answer, err := readAnswer(response, body)
@@ -55,21 +54,6 @@
 	return answer, err
 }
 
-// lost tells what is known of a call to which a gate gave no answer.
-func lost(ctx context.Context, sent bool) *call.Refusal {
-	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	switch {
-	case sent && late:
-		return call.Unknown(call.ReasonDeadline)
-	case sent:
-		return call.Unknown(call.ReasonBroken)
-	case late:
-		return call.Refuse(call.ReasonDeadline)
-	default:
-		return call.Refuse(call.ReasonUnreachable)
-	}
-}
-
 func (e *Entry) newRequest(ctx context.Context, now time.Time, c *routed, t feed.Target) *http.Request {
 	in := c.request
 	r := &http.Request{
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -39,7 +39,7 @@
 		trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 		response, err := client.RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), left, a.Address, c))
 		if err != nil {
-			return nil, failure(ctx, sent.Load())
+			return nil, call.Lost(ctx, sent.Load())
 		}
 		return &Answer{
 			Status: response.StatusCode, Header: response.Header,
@@ -49,21 +49,6 @@
 	return Sender{Send: send, Close: client.CloseIdleConnections}
 }
 
-// failure tells what is known of a call without an answer.
-func failure(ctx context.Context, sent bool) *call.Refusal {
-	late := ctx.Err() == context.DeadlineExceeded
-	switch {
-	case sent && late:
-		return call.Unknown(call.ReasonDeadline)
-	case sent:
-		return call.Unknown(call.ReasonBroken)
-	case late:
-		return call.Refuse(call.ReasonDeadline)
-	default:
-		return call.Refuse(call.ReasonUnreachable)
-	}
-}
-
 func newRequest(ctx context.Context, left time.Duration, address string, c Call) *http.Request {
 	r := &http.Request{
 		Method:        c.Method,
