--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -74,7 +74,6 @@
 	net.Conn
 	reader *bufio.Reader
 	until  time.Time // Not reused after that.
-	spare  time.Duration
 }
 
 // NewClient returns a client without connections.
