Feed: daemons pull from replicas of their own data centre; old upstreams are not new after a restart

Change: replicas tell each other their data centres, a child that knows none near is sent to one before it is told anything else, and an upstream is there since it was born.

--- a/internal/directory/tree.go
+++ b/internal/directory/tree.go
@@ -74,17 +74,3 @@
 	})
 	return ranked
 }
-
-// PreferSources orders the source replicas for a daemon. Each data centre
-// spreads its relays over the replicas in an order of its own.
-func PreferSources(sources []string, host, zone string) []string {
-	ordered := slices.Clone(sources)
-	slices.SortFunc(ordered, func(a, b string) int {
-		ha, hb := xxh3.HashString(zone+"/"+host+"/"+a), xxh3.HashString(zone+"/"+host+"/"+b)
-		if ha < hb {
-			return -1
-		}
-		return 1
-	})
-	return ordered
-}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -40,6 +40,7 @@
 // HubConfig describes a Hub.
 type HubConfig struct {
 	Host     string
+	Zone     string
 	Instance uint64 // Differs each time the process starts.
 	Source   bool   // A source replica does not count itself as a daemon.
 	Counters *count.Set
@@ -53,7 +54,7 @@
 	state  atomic.Pointer[State]
 	view   atomic.Pointer[View]
 	floor  atomic.Uint64 // One more than the confirmed floor; 0 if unknown.
-	source atomic.Pointer[[]string]
+	source atomic.Pointer[[]directory.Source]
 
 	mutex     sync.Mutex
 	directory directory.Directory
@@ -82,19 +83,18 @@
 // State returns the configuration in force.
 func (h *Hub) State() *State { return h.state.Load() }
 
-// Sources returns the addresses of the source's replicas, as far as they have
-// been told.
-func (h *Hub) Sources() []string {
+// Sources returns the source's replicas, as far as they have been told.
+func (h *Hub) Sources() []directory.Source {
 	if told := h.source.Load(); told != nil {
 		return *told
 	}
 	return nil
 }
 
-// SetSources notes the addresses of the source's replicas.
-func (h *Hub) SetSources(addresses []string) {
-	if len(addresses) > 0 {
-		h.source.Store(&addresses)
+// SetSources notes the source's replicas.
+func (h *Hub) SetSources(sources []directory.Source) {
+	if len(sources) > 0 {
+		h.source.Store(&sources)
 	}
 }
 
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -26,7 +26,11 @@
 	Instance uint64 // The parent's instance that Index was learned from.
 	Index    uint64 // Directory changes known of the parent.
 	Records  directory.Digest
+	Sources  directory.Digest // Of the source's replicas that the child knows.
 	Wait     time.Duration
+	// Zone is the child's data centre, if it knows no replica of the source
+	// there.
+	Zone string
 }
 
 // PullReply is what a parent has to tell.
@@ -39,7 +43,12 @@
 	Digest   directory.Digest // Of the parent's directory.
 	Age      time.Duration    // How long ago the source's leader was last heard of.
 	Busy     time.Duration    // If positive: ask for a whole state again after this.
-	Sources  []string         // Addresses of the source's replicas, if the parent knows them.
+	// Sources are the source's replicas, if the parent knows others than the
+	// child.
+	Sources []directory.Source
+	// Elsewhere means that the child should ask a replica of its own data
+	// centre, which is among Sources, and that nothing else is told.
+	Elsewhere bool
 }
 
 // NoticeArgs asks a second parent to tell as soon as it has a newer revision
@@ -60,6 +69,7 @@
 	Ack     Ack
 	Records []directory.Record
 	Reports []evidence.Report
+	Zone    string // Of a replica of the source that reports to another.
 }
 
 // ReportReply carries nothing; a call without error was taken in.
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -5,11 +5,14 @@
 	"reflect"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/endivewalk/endivewalk/internal/catalog"
 	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -65,3 +68,25 @@
 	_, err := reply.delta()
 	require.ErrorIs(t, err, ErrBadMessage)
 }
+
+// A child that knows no replica in its own data centre is sent to one, and is
+// told nothing else: a whole state must not cross data centres first. One that
+// knows it, and comes all the same, is served.
+func TestChildIsSentToNearSource(t *testing.T) {
+	h := NewHub(HubConfig{Host: "s", Zone: "a", Instance: 1, Source: true, Counters: &count.Set{}})
+	sources := []directory.Source{{Address: "10.0.0.1:1", Zone: "a"}, {Address: "10.1.0.1:1", Zone: "b"}}
+	h.SetSources(sources)
+	require.True(t, h.Publish(manyRoutes(t, 5), &expand.Table{}))
+	now := time.Now()
+	got := h.answer(now, PullArgs{Host: "d", Zone: "b"})
+	require.True(t, got.Elsewhere)
+	require.Nil(t, got.Delta)
+	require.Equal(t, sources, got.Sources)
+	got = h.answer(now, PullArgs{Host: "d", Sources: directory.DigestSources(sources)})
+	require.False(t, got.Elsewhere)
+	require.NotNil(t, got.Delta)
+	require.Nil(t, got.Sources, "the child knows them")
+	for _, zone := range []string{"a", "c"} {
+		require.False(t, h.answer(now, PullArgs{Host: "d", Zone: zone}).Elsewhere, zone)
+	}
+}
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -167,7 +167,11 @@
 // that were told lately, then those from the settings.
 func (c *Child) sources() []string {
 	all := directory.PreferSources(c.hub.Sources(), c.config.Host, c.config.Zone)
-	for _, address := range directory.PreferSources(*c.seeds.Load(), c.config.Host, c.config.Zone) {
+	var seeds []directory.Source
+	for _, address := range *c.seeds.Load() {
+		seeds = append(seeds, directory.Source{Address: address})
+	}
+	for _, address := range directory.PreferSources(seeds, c.config.Host, c.config.Zone) {
 		if !slices.Contains(all, address) {
 			all = append(all, address)
 		}
@@ -201,6 +205,10 @@
 	args := PullArgs{
 		Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest(),
 		Instance: c.instance, Index: c.index, Records: c.hub.RecordsDigest(), Wait: pullWait,
+		Sources: directory.DigestSources(c.hub.Sources()),
+	}
+	if !directory.HasSourceIn(c.hub.Sources(), c.config.Zone) {
+		args.Zone = c.config.Zone
 	}
 	if c.wantsWhole() {
 		args.Have = 0
@@ -212,6 +220,10 @@
 	if err := c.client(address).Call("Feed.Pull", args, &reply, pullTimeout); err != nil {
 		return 0, err
 	}
+	if reply.Elsewhere {
+		c.hub.SetSources(reply.Sources)
+		return 0, nil
+	}
 	now := c.config.Clock()
 	c.hub.Learn(now, address, reply.Records...)
 	c.hub.Hear(now.Add(-reply.Age))
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -37,7 +37,7 @@
 func (s *Service) Pull(args PullArgs, reply *PullReply) error {
 	return s.await(args.Host, args.Wait, func() bool {
 		*reply = s.hub.answer(s.clock(), args)
-		if reply.Delta != nil || reply.Busy > 0 {
+		if reply.Delta != nil || reply.Busy > 0 || reply.Elsewhere {
 			s.hub.compress(reply)
 			return true
 		}
@@ -85,7 +85,15 @@
 func (h *Hub) answer(now time.Time, args PullArgs) PullReply {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	reply := PullReply{Instance: h.config.Instance, Index: h.directory.Last(), Age: now.Sub(h.heard), Sources: h.Sources()}
+	reply := PullReply{Instance: h.config.Instance, Index: h.directory.Last(), Age: now.Sub(h.heard)}
+	sources := h.Sources()
+	if directory.DigestSources(sources) != args.Sources {
+		reply.Sources = sources
+	}
+	if args.Zone != "" && h.config.Source && args.Zone != h.config.Zone && directory.HasSourceIn(sources, args.Zone) {
+		reply.Elsewhere = true
+		return reply
+	}
 	reply.Digest = h.directory.Digest()
 	// A child that has just come compares its directory first; from then on it
 	// knows the parent's instance.
--- a/internal/source/exchange.go
+++ b/internal/source/exchange.go
@@ -51,7 +51,7 @@
 
 func (n *Node) exchangeOnce(s *sibling) {
 	records, reports, next := n.hub.ChangesFor(s.name, s.cursor)
-	args := feed.ReportArgs{Host: n.config.Name, Ack: n.hub.Ack(), Records: records, Reports: reports}
+	args := feed.ReportArgs{Host: n.config.Name, Ack: n.hub.Ack(), Records: records, Reports: reports, Zone: n.config.Zone}
 	var reply ExchangeReply
 	if err := s.client.Call("Source.Exchange", args, &reply, exchangeTimeout); err != nil {
 		return
--- a/internal/source/links.go
+++ b/internal/source/links.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/quorum"
 	"github.com/endivewalk/endivewalk/internal/ring"
@@ -97,14 +98,52 @@
 
 // learnMembers takes the addresses in a member list in.
 func (n *Node) learnMembers(members []quorum.Member) {
-	addresses := []string{}
 	for _, m := range members {
 		n.Learn(Member{Name: memberName(m.ID), Address: m.Address})
-		if m.Address != "" {
-			addresses = append(addresses, m.Address)
+	}
+	n.zones.mutex.Lock()
+	defer n.zones.mutex.Unlock()
+	n.zones.members = members
+	n.publishSources()
+}
+
+// zones holds in which data centres the replicas are, which they tell each
+// other.
+type zones struct {
+	mutex   sync.Mutex
+	byName  map[string]string
+	members []quorum.Member
+}
+
+// noteZone notes in which data centre another replica is.
+func (n *Node) noteZone(name, zone string) {
+	n.zones.mutex.Lock()
+	defer n.zones.mutex.Unlock()
+	if n.zones.byName[name] == zone {
+		return
+	}
+	if n.zones.byName == nil {
+		n.zones.byName = map[string]string{}
+	}
+	n.zones.byName[name] = zone
+	n.publishSources()
+}
+
+// publishSources tells daemons of the replicas that can be called. The caller
+// holds the lock of zones.
+func (n *Node) publishSources() {
+	var sources []directory.Source
+	for _, m := range n.zones.members {
+		if m.Address == "" {
+			continue
+		}
+		zone := n.zones.byName[memberName(m.ID)]
+		if memberName(m.ID) == n.config.Name {
+			zone = n.config.Zone
 		}
+		sources = append(sources, directory.Source{Address: m.Address, Zone: zone})
 	}
-	n.hub.SetSources(addresses)
+	n.hub.SetSources(sources)
 }
 
 // noteMembers tells the node of the addresses in a new member list.
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -24,6 +24,7 @@
 	server  *peer.Server
 	traffic peer.Traffic
 	links   links
+	zones   zones
 	leader  atomic.Value // A member name, or "".
 	stop    chan struct{}
 	duties  sync.WaitGroup
@@ -50,7 +51,7 @@
 	}
 	n.id = id
 	now := c.Clock()
-	n.hub = feed.NewHub(feed.HubConfig{Host: c.Name, Instance: uint64(now.UnixNano()), Source: true, Counters: c.Counters})
+	n.hub = feed.NewHub(feed.HubConfig{Host: c.Name, Zone: c.Zone, Instance: uint64(now.UnixNano()), Source: true, Counters: c.Counters})
 	if n.agree, err = newAgreement(n, store, id, start, now); err != nil {
 		store.Close()
 		return nil, err
--- a/internal/source/service.go
+++ b/internal/source/service.go
@@ -113,6 +113,7 @@
 		s.node.config.Counters.Add("feed_bad_messages", 1)
 		return feed.ErrBadMessage
 	}
+	s.node.noteZone(args.Host, args.Zone)
 	s.node.hub.TakeSibling(s.node.config.Clock(), args)
 	reply.Instance = s.node.hub.Instance()
 	reply.Digest = s.node.hub.RecordsDigest()
--- a/internal/upstream/gate.go
+++ b/internal/upstream/gate.go
@@ -115,7 +115,11 @@
 }
 
 // Announce takes in an announcement or renews one.
-func (g *Gate) Announce(now time.Time, a Announcement) error {
+func (g *Gate) Announce(now time.Time, a Announcement) error { return g.announce(now, now, a) }
+
+// announce takes in an announcement of an upstream that has been there since a
+// time.
+func (g *Gate) announce(now, since time.Time, a Announcement) error {
 	if err := a.Check(); err != nil {
 		g.config.Counters.Add("announcements_refused", 1)
 		return err
@@ -128,7 +132,7 @@
 		if e != nil {
 			g.close(e)
 		}
-		e = &entry{said: a, since: now, lane: newLane(a.Slots), sender: g.config.NewSender(a)}
+		e = &entry{said: a, since: since, lane: newLane(a.Slots), sender: g.config.NewSender(a)}
 		e.lane.queue.limiter.fixed = g.config.Fixed
 		g.upstreams[a.ID] = e
 	}
--- a/internal/upstream/life.go
+++ b/internal/upstream/life.go
@@ -12,6 +12,16 @@
 	Sequence uint64
 }
 
+// since returns since when an upstream has been there that is heard of at now.
+// A gate that has just started, beside an upstream that has long been at work,
+// must not present it as a new one.
+func (l Life) since(now time.Time) time.Time {
+	if born := time.UnixMilli(l.Born); l.Born > 0 && born.Before(now) {
+		return born
+	}
+	return now
+}
+
 // ErrStale means that an announcement was overtaken by a newer one, or comes
 // from an upstream that has ended. It changes nothing.
 var ErrStale = errs.New("upstream: overtaken announcement")
@@ -48,7 +58,7 @@
 	if e := g.entry(a.ID); e != nil && g.renew(now, e, a, l, draining) {
 		return nil
 	}
-	if err := g.Announce(now, a); err != nil {
+	if err := g.announce(now, l.since(now), a); err != nil {
 		return err
 	}
 	if e := g.entry(a.ID); e != nil {
