Daemon: a stopped daemon's gate serves on, and its next life resumes the upstream

Cause: with a third of the daemons stopped within 1.5 s under a burst, each upstream got no calls for four seconds: the gate withdrew as soon as the daemon was told to stop (2.6 s), and the next life waited for an announcement (up to 1.5 s). Ruled out: configuration changes and releases at the same seconds; the service whose daemons were stopped was the one that shed calls.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -39,15 +39,22 @@
 	Claims  Claims
 	// Local returns the handler of the local address. Nil means that there is
 	// none.
-	Local   func(*Daemon) (http.Handler, error)
-	Linger  time.Duration // How long a leaving daemon still takes calls: 3 s.
-	Clock   func() time.Time
-	Draw    func() float64 // Random numbers in [0, 1).
-	Dial    peer.Dial
-	Policy  move.Policy
-	Tell    time.Duration // Between two reports of evidence on a move: 1 s.
-	Retries caller.RetryPolicy
-	Balance balance.Config // Zone is filled in.
+	Local  func(*Daemon) (http.Handler, error)
+	Linger time.Duration // How long a leaving daemon still takes calls: 3 s.
+	// Withdraw is how long before the end of Linger the other daemons are told to
+	// send the upstreams beside this one no more calls: as long as Linger.
+	Withdraw time.Duration
+	// Upstream is the address of the upstream beside the daemon, if the settings
+	// know it. With it, a daemon that was stopped and started in an orderly way
+	// goes on with that upstream before it announces itself again.
+	Upstream string
+	Clock    func() time.Time
+	Draw     func() float64 // Random numbers in [0, 1).
+	Dial     peer.Dial
+	Policy   move.Policy
+	Tell     time.Duration // Between two reports of evidence on a move: 1 s.
+	Retries  caller.RetryPolicy
+	Balance  balance.Config // Zone is filled in.
 	// Calls logs calls, and CallID tells what their IDs are. Both may be nil.
 	Calls  *logs.Calls
 	CallID func(http.Header) string
@@ -78,6 +85,9 @@
 	if c.Linger == 0 {
 		c.Linger = defaultLinger
 	}
+	if c.Withdraw == 0 || c.Withdraw > c.Linger {
+		c.Withdraw = c.Linger
+	}
 	if c.Claims.Lifetime == 0 {
 		c.Claims.Lifetime = defaultLifetime
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,7 +57,7 @@
 	now := c.Clock()
 	d := &Daemon{config: c, stop: make(chan struct{})}
 	incarnation := uint64(now.UnixMilli())
-	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters})
+	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters, Earlier: d.resume})
 	d.newKeeper()
 	d.floors = floor.NewStore(d.hub.Instance())
 	d.evidence = evidence.NewCounter(c.Host, incarnation)
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -14,12 +14,16 @@
 	handshakeMost = 200 * time.Millisecond
 )
 
-// Leave ends the daemon without cutting off a call. It says that it leaves and
-// goes on taking calls until others know. Then it refuses new connections,
+// Leave ends the daemon without cutting off a call. At first it goes on taking
+// calls from the other daemons while its callers look elsewhere: where many
+// daemons are restarted at once, upstreams that get no calls meanwhile would be
+// missed. Then it says that it leaves and goes on taking calls until others
+// know. After that it refuses new connections,
 // waits until those that are open have been closed by the other side or with
 // an answer, and stops. It returns ctx's error if that took too long.
 func (d *Daemon) Leave(ctx context.Context) error {
 	d.config.Events.Add(d.config.Clock(), event.Event{Kind: "daemon-leaving", Subject: d.config.Host, Text: "takes no new work soon"})
+	d.pause(d.config.Linger - d.config.Withdraw)
 	d.leaving.Store(true)
 	fronts := []*front{d.gateHTTP}
 	if d.caller != nil {
@@ -29,7 +33,7 @@
 		f.closing.Store(true)
 	}
 	d.renewRecord()
-	d.pause(d.config.Linger)
+	d.pause(d.config.Withdraw)
 	for _, f := range fronts {
 		if f.refuse() != nil {
 			d.config.Counters.Add("listeners_not_refusing", 1)
@@ -47,6 +51,8 @@
 		err = ctx.Err()
 		d.pause(leavePoll)
 	}
+	d.gate.Retire()
+	d.child.ReportNow()
 	d.Stop()
 	return err
 }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -44,6 +44,9 @@
 	Instance uint64 // Differs each time the process starts.
 	Source   bool   // A source replica does not count itself as a daemon.
 	Counters *count.Set
+	// Earlier is called with records of this host from an earlier life of the
+	// process that others still hold. It may be nil.
+	Earlier func(directory.Record)
 }
 
 // Hub is what a process knows and passes on: the configuration in force, the
@@ -159,6 +162,9 @@
 // Learn merges directory records that another process sent, or that this one
 // makes itself if from is "".
 func (h *Hub) Learn(now time.Time, from string, records ...directory.Record) []directory.Record {
+	if from != "" && h.config.Earlier != nil {
+		h.tellEarlier(records)
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	news := h.directory.Merge(now, from, records...)
@@ -168,6 +174,14 @@
 	return news
 }
 
+func (h *Hub) tellEarlier(records []directory.Record) {
+	for _, r := range records {
+		if r.Host == h.config.Host && r.Check() == nil {
+			h.config.Earlier(r)
+		}
+	}
+}
+
 // refresh rebuilds the view after a change of the directory. The caller holds
 // the lock.
 func (h *Hub) refresh() {
--- a/internal/feed/pull.go
+++ b/internal/feed/pull.go
@@ -24,6 +24,7 @@
 	reportMost    = time.Second           // Also without news.
 	refusedPause  = time.Second
 	probeTimeout  = 2 * time.Second
+	lastTimeout   = 200 * time.Millisecond // Of the last report of a daemon that stops.
 )
 
 // ChildConfig describes a Child.
@@ -335,6 +336,20 @@
 	}
 }
 
+// ReportNow tells the parent what this daemon says of itself, however lately it
+// changed. It is for daemons that are about to stop.
+func (c *Child) ReportNow() {
+	parent, _ := c.parentSince()
+	own, ok := c.hub.Record(c.config.Host)
+	if parent == "" || !ok {
+		return
+	}
+	args := ReportArgs{Host: c.config.Host, Ack: c.hub.Ack(), Records: []directory.Record{own}}
+	if err := c.client(parent).Call("Feed.Report", args, &ReportReply{}, lastTimeout); err != nil {
+		c.hub.config.Counters.Add("feed_last_reports_failed", 1)
+	}
+}
+
 func (c *Child) reportOnce(parent string, cursor Cursor) Cursor {
 	records, reports, next := c.hub.ChangesFor(parent, cursor)
 	args := ReportArgs{Host: c.config.Host, Ack: c.hub.Ack(), Records: records, Reports: reports}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,10 @@
 	Keepers  []string      // Hosts of daemons that remember the others' floors.
 	Claims   []string      // Hosts of daemons that keep the claims of keyed calls.
 	Linger   time.Duration // Of leaving daemons; 0 means 300 ms.
+	Withdraw time.Duration // Of leaving daemons; 0 means as long as Linger.
+	// Upstream returns the address of the upstream beside a host's daemon, if the
+	// daemon's settings are to name it. It may be nil.
+	Upstream func(host string) string
 	Timing   source.Timing
 	Dial     func(from string) peer.Dial // How a process opens connections; nil means TCP.
 	Seed     uint64
@@ -268,7 +272,12 @@
 	if err != nil {
 		return nil, err
 	}
+	upstream := ""
+	if f.config.Upstream != nil {
+		upstream = f.config.Upstream(host)
+	}
 	d, err := daemon.Start(daemon.Config{
+		Withdraw: f.config.Withdraw, Upstream: upstream,
 		Host: host, Zone: zone, Sources: f.SourceAddresses(), Shape: f.config.Shape,
 		Keepers: keepers, Claims: daemon.Claims{Keepers: claims, First: first},
 		Listen: own, Local: localhttp.ForDaemon,
--- a/internal/fleet/leave_test.go
+++ b/internal/fleet/leave_test.go
@@ -40,6 +40,52 @@
 	}
 }
 
+// TestRestartedGateIsMissedBriefly stops the daemon beside the only upstream of
+// a service and starts it again. Until shortly before it stops its gate serves
+// the others' calls, and it goes on with its upstream, which announces itself
+// only much later.
+func TestRestartedGateIsMissedBriefly(t *testing.T) {
+	t.Parallel()
+	address := ""
+	f := start(t, fleet.Config{
+		Linger: 1200 * time.Millisecond, Withdraw: 300 * time.Millisecond,
+		Upstream: func(host string) string {
+			if host == "d2" {
+				return address
+			}
+			return ""
+		},
+	})
+	startDaemons(t, f, 3)
+	address = startWorker(t, f, "d2", "booking", "v1", 0).Address()
+	apply(t, f, "first", kilele(t)...)
+	targets := func() int { return len(f.Daemon("d0").Hub().View().Targets("booking", "v1")) }
+	eventually(t, "the upstream", func() bool { return targets() == 1 })
+
+	left := make(chan error, 1)
+	began := time.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		left <- f.LeaveDaemon(ctx, "d2")
+	}()
+	time.Sleep(500 * time.Millisecond)
+	r, ok := f.Daemon("d0").Hub().Record("d2")
+	require.True(t, ok)
+	require.False(t, r.Leaving, "others go on sending calls for a while")
+	eventually(t, "the word that it leaves", func() bool {
+		r, _ := f.Daemon("d0").Hub().Record("d2")
+		return r.Leaving
+	})
+	require.GreaterOrEqual(t, time.Since(began), 800*time.Millisecond)
+	require.NoError(t, <-left)
+	f.Standin("booking-d2-v1").Kill() // Nobody announces it any more.
+	d, err := f.StartDaemon("d2", zones[2])
+	require.NoError(t, err)
+	eventually(t, "the resumed upstream", func() bool { return d.Counters().Get("upstreams_resumed") == 1 && targets() == 1 })
+	eventually(t, "its end without an announcement", func() bool { return targets() == 0 })
+}
+
 // TestLastGateThatLeaves has the only daemon with an upstream of a service
 // leave. Its gate serves calls until it is closed.
 func TestLastGateThatLeaves(t *testing.T) {
--- a/internal/upstream/gate.go
+++ b/internal/upstream/gate.go
@@ -20,6 +20,9 @@
 var (
 	ErrInvalid = errs.New("upstream: invalid announcement")
 	ErrAbsent  = errs.New("upstream: no such upstream has announced itself here")
+	// ErrRetired means that the daemon is about to stop and takes in nothing more
+	// of what upstreams say.
+	ErrRetired = errs.New("upstream: the daemon is about to stop")
 )
 
 // Announcement is what an upstream says of itself. It has to be renewed before
@@ -71,6 +74,7 @@
 	since    time.Time
 	until    time.Time
 	draining bool
+	resumed  bool // Known from an earlier life of the daemon only.
 	life     Life
 	lane     *lane
 	sender   Sender
@@ -101,6 +105,7 @@
 	mutex     sync.Mutex
 	upstreams map[string]*entry
 	ended     map[string]ended // By upstream ID.
+	retired   bool
 }
 
 // New returns a gate that knows no upstream.
@@ -126,6 +131,10 @@
 	}
 	g.config.Counters.Add("announcements", 1)
 	g.mutex.Lock()
+	if g.retired {
+		g.mutex.Unlock()
+		return ErrRetired
+	}
 	e := g.upstreams[a.ID]
 	changed := e == nil || e.said != a || e.draining
 	if changed {
@@ -147,6 +156,10 @@
 // Drain lets no new call reach an upstream; those that run go on.
 func (g *Gate) Drain(now time.Time, id string) error {
 	g.mutex.Lock()
+	if g.retired {
+		g.mutex.Unlock()
+		return ErrRetired
+	}
 	e := g.upstreams[id]
 	if e == nil {
 		g.mutex.Unlock()
@@ -162,9 +175,21 @@
 	return nil
 }
 
+// Retire takes in no more announcements, so that what the daemon has said last
+// of its upstreams stays true until it stops.
+func (g *Gate) Retire() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.retired = true
+}
+
 // Leave takes an upstream out.
 func (g *Gate) Leave(now time.Time, id string) error {
 	g.mutex.Lock()
+	if g.retired {
+		g.mutex.Unlock()
+		return ErrRetired
+	}
 	e := g.upstreams[id]
 	if e == nil {
 		g.mutex.Unlock()
--- a/internal/upstream/life.go
+++ b/internal/upstream/life.go
@@ -51,6 +51,9 @@
 		g.config.Counters.Add("announcements_refused", 1)
 		return err
 	}
+	if g.isRetired() {
+		return ErrRetired
+	}
 	if !g.admitLife(now, a, l) {
 		g.config.Counters.Add("announcements_stale", 1)
 		return ErrStale
@@ -72,6 +75,12 @@
 	return nil
 }
 
+func (g *Gate) isRetired() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.retired
+}
+
 // admitLife reports whether an announcement is newer than what is known of the
 // upstream and of the address. An older upstream at the address has ended.
 func (g *Gate) admitLife(now time.Time, a Announcement, l Life) bool {
@@ -80,14 +89,14 @@
 	if e, ok := g.ended[a.ID]; ok && l.Born <= e.life.Born {
 		return false
 	}
-	if e := g.upstreams[a.ID]; e != nil && (l.Born < e.life.Born || l.Born == e.life.Born && l.Sequence <= e.life.Sequence) {
+	if e := g.upstreams[a.ID]; e != nil && !e.resumed && (l.Born < e.life.Born || l.Born == e.life.Born && l.Sequence <= e.life.Sequence) {
 		return false
 	}
 	for id, e := range g.upstreams {
 		if id == a.ID || e.said.Address != a.Address {
 			continue
 		}
-		if l.Born < e.life.Born {
+		if !e.resumed && l.Born < e.life.Born {
 			return false
 		}
 		g.end(now, id, e)
@@ -106,6 +115,9 @@
 // returns false if the upstream has to be announced anew.
 func (g *Gate) renew(now time.Time, e *entry, a Announcement, l Life, draining bool) bool {
 	g.mutex.Lock()
+	if e.resumed && e.said.continues(a) {
+		e.resumed, e.said, e.life = false, a, l
+	}
 	if e.life.Born != l.Born {
 		g.end(now, a.ID, e)
 		delete(g.ended, a.ID)
