Entry: calls to hosts that acknowledge nothing end at once, and others are asked about them

Ruled out: room; the upstreams that were left had enough for the callers that were left. Change: the kernel breaks a connection off that is not acknowledged for 0.6 s; that ends all calls to the host, leaves it out of the choice and has others asked whether it is gone. Write buffers of 8 KB.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -270,6 +270,7 @@
 	Load   call.Load // Zero if none was told.
 	Failed bool      // The target could not be reached or broke off.
 	Closed bool      // The target takes no new work.
+	Silent bool      // The target's host acknowledges nothing; it is left out at once.
 }
 
 // Done ends a call that Pick counted.
@@ -293,7 +294,7 @@
 		return
 	}
 	s.failures++
-	if s.failures >= ejectAfter && !now.Before(s.ejected) {
+	if (r.Silent || s.failures >= ejectAfter) && !now.Before(s.ejected) {
 		s.ejected = now.Add(min(b.config.Eject<<min(s.ejects, 5), ejectMost))
 		s.ejects++
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -43,6 +43,15 @@
 	return counts
 }
 
+// A host that acknowledges nothing is left out after one call; other failures
+// take three.
+func TestSilentHostIsLeftOutAtOnce(t *testing.T) {
+	silent, sound := target("silent", "a"), target("sound", "a")
+	b := balance.New(balance.Config{Zone: "a"})
+	b.Done(now, silent, balance.Result{Failed: true, Silent: true})
+	require.Equal(t, map[string]int{"sound": 300}, picks(b, bound(time.Second), []feed.Target{silent, sound}))
+}
+
 // Calls stay in their data centre while they can make their objective there,
 // and leave it when waiting would miss it.
 func TestNearUntilTheObjectiveIsMissed(t *testing.T) {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -103,6 +103,9 @@
 	Load    Load
 	After   time.Duration // When there may be room; 0 if not known.
 	Reached bool          // The call reached an upstream, whose word this is.
+	// Silent means that the host of the gate acknowledged nothing. It is known at
+	// the entry only.
+	Silent bool
 }
 
 // Error returns the reason and the outcome.
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -42,6 +42,8 @@
 	Retries RetryPolicy
 	Calls   *logs.Calls    // Nil means that calls are not logged.
 	Balance balance.Config // Zone is filled in.
+	// Silent is told of a host that acknowledged nothing of a call. It may be nil.
+	Silent func(host string)
 }
 
 // Entry routes calls. It is safe for concurrent use. Make one with New.
@@ -51,7 +53,7 @@
 	retries  retryBudgets
 	splits   splitter
 	patience patience
-	gates    gates
+	gates    *gates
 	keptFor  atomic.Pointer[feed.View]
 }
 
@@ -59,7 +61,7 @@
 func New(c Config) *Entry {
 	c.Retries = c.Retries.withDefaults()
 	c.Balance.Zone = c.Zone
-	return &Entry{config: c, balancer: balance.New(c.Balance)}
+	return &Entry{config: c, balancer: balance.New(c.Balance), gates: newGates(c.Counters)}
 }
 
 // Close closes the connections to other daemons.
--- a/internal/caller/gates.go
+++ b/internal/caller/gates.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/peer"
 )
 
@@ -14,34 +17,83 @@
 	dialTimeout = 500 * time.Millisecond
 	// dialAgain is after what time another attempt is made beside the first,
 	// whose opening packet may be lost.
-	dialAgain    = 200 * time.Millisecond
+	dialAgain = 200 * time.Millisecond
+	// silenceMost is how long a daemon's host may acknowledge nothing. Its kernel
+	// does that within a round trip, however busy the daemon is; the rest is for
+	// packets that are lost or wait at a slow link.
+	silenceMost  = 600 * time.Millisecond
 	idlePerGate  = 256
 	idleLifetime = 30 * time.Second
+	// writeBuffer holds a call's header and most bodies, in bytes. It is kept for
+	// each connection.
+	writeBuffer = 8 << 10
 )
 
 // gates keeps the connections to other daemons' gates, each daemon's by
-// themselves. The zero value has none, and it is safe for concurrent use.
+// themselves. It is safe for concurrent use.
+//
+// It answers hosts that lose power or are cut off while calls run there: their
+// connections stay open, and each call would wait until its deadline. The first
+// one that finds nothing acknowledged ends all others to that host.
 type gates struct {
-	mutex   sync.RWMutex
-	clients map[string]*http.Transport // By address.
+	dial     peer.Dial
+	counters *count.Set
+	mutex    sync.RWMutex
+	open     map[string]*gateway // By address.
 }
 
-func (g *gates) client(address string) *http.Transport {
+// gateway is the way to one gate until its host falls silent.
+type gateway struct {
+	transport *http.Transport
+	lost      context.Context // Ends when the host is found silent.
+	lose      context.CancelFunc
+}
+
+func newGates(counters *count.Set) *gates {
+	return &gates{dial: peer.Hedge(peer.DialTCP, dialAgain), counters: counters, open: map[string]*gateway{}}
+}
+
+func (g *gates) to(address string) *gateway {
 	g.mutex.RLock()
-	one := g.clients[address]
+	one := g.open[address]
 	g.mutex.RUnlock()
 	if one != nil {
 		return one
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.clients == nil {
-		g.clients = map[string]*http.Transport{}
+	if g.open[address] == nil {
+		one := &gateway{transport: g.newTransport()}
+		one.lost, one.lose = context.WithCancel(context.Background())
+		g.open[address] = one
 	}
-	if g.clients[address] == nil {
-		g.clients[address] = newTransport()
+	return g.open[address]
+}
+
+// fail takes in that a call over a gateway failed, and reports whether that
+// shows that the host is silent. Then all calls to it end.
+func (g *gates) fail(address string, one *gateway, err error) bool {
+	if !isSilence(err) {
+		return false
+	}
+	g.mutex.Lock()
+	if g.open[address] == one {
+		delete(g.open, address)
+	}
+	g.mutex.Unlock()
+	one.lose()
+	one.transport.CloseIdleConnections()
+	return true
+}
+
+// isSilence reports whether an error means that a host acknowledged nothing,
+// neither what was sent nor that a connection is opened.
+func isSilence(err error) bool {
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		return true
 	}
-	return g.clients[address]
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && op.Timeout()
 }
 
 // keep drops the gates that are not in a set of addresses. Calls that are on
@@ -49,23 +101,29 @@
 func (g *gates) keep(staying map[string]bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	for address, one := range g.clients {
+	for address, one := range g.open {
 		if !staying[address] {
-			delete(g.clients, address)
-			one.CloseIdleConnections()
+			delete(g.open, address)
+			one.transport.CloseIdleConnections()
 		}
 	}
 }
 
-func newTransport() *http.Transport {
-	dial := peer.Hedge(peer.DialTCP, dialAgain)
+func (g *gates) newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
-			return dial(address, dialTimeout)
+			conn, err := g.dial(address, dialTimeout)
+			if err != nil {
+				return nil, err
+			}
+			if limitSilence(conn, silenceMost) != nil {
+				g.counters.Add("silence_not_limited", 1)
+			}
+			return conn, nil
 		},
 		MaxIdleConnsPerHost: idlePerGate,
 		IdleConnTimeout:     idleLifetime,
 		DisableCompression:  true,
-		WriteBufferSize:     bodyKept,
+		WriteBufferSize:     writeBuffer,
 	}
 }
--- a/internal/caller/note.go
+++ b/internal/caller/note.go
@@ -50,8 +50,8 @@
 }
 
 // noteTry logs a try that is not the last one.
-func (e *Entry) noteTry(c *routed, t feed.Target, now time.Time, outcome any) {
+func (e *Entry) noteTry(c *routed, t feed.Target, now time.Time, outcome any, silent bool) {
 	e.config.Calls.Log(logs.ClassRetry, "msg", "call goes on", "id", c.id, "route", c.route.Name(),
-		"host", t.Host, "upstream", t.ID, "incarnation", t.Incarnation, "outcome", outcome,
+		"host", t.Host, "upstream", t.ID, "incarnation", t.Incarnation, "outcome", outcome, "silent", silent,
 		"left", c.deadline.Sub(now))
 }
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -41,12 +41,20 @@
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	request := e.newRequest(httptrace.WithClientTrace(ctx, trace), now, c, t)
-	response, err := e.gates.client(t.Gate).RoundTrip(request)
+	way := e.gates.to(t.Gate)
+	stop := context.AfterFunc(way.lost, cancel)
+	response, err := way.transport.RoundTrip(request)
 	if err != nil {
+		refusal := call.Lost(ctx, sent.Load())
+		refusal.Silent = e.gates.fail(t.Gate, way, err) || way.lost.Err() != nil
+		stop()
 		cancel()
-		return nil, call.Lost(ctx, sent.Load())
+		return nil, refusal
 	}
-	body := &cancelBody{ReadCloser: response.Body, cancel: cancel}
+	body := &cancelBody{ReadCloser: response.Body, cancel: func() {
+		stop()
+		cancel()
+	}}
 	answer, err := readAnswer(response, body)
 	if err != nil {
 		body.Close()
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -50,7 +50,7 @@
 				passed.Drop()
 				return answer, nil
 			}
-			e.noteTry(c, target, e.config.Clock(), answer.Status)
+			e.noteTry(c, target, e.config.Clock(), answer.Status, false)
 			passed.Drop()
 			passed = answer
 			continue
@@ -65,7 +65,7 @@
 		if !e.costsNobody(c, refusal) && !e.mayRetry(c) {
 			return instead(passed, refusal)
 		}
-		e.noteTry(c, target, e.config.Clock(), refusal.Reason)
+		e.noteTry(c, target, e.config.Clock(), refusal.Reason, refusal.Silent)
 	}
 }
 
@@ -203,6 +203,10 @@
 		result.Load = r.Load
 		result.Failed = r.Run == call.RunUnknown || r.Reason == call.ReasonUnreachable
 		result.Closed = r.Reason == call.ReasonDraining
+		result.Silent = r.Silent
+		if r.Silent && e.config.Silent != nil {
+			e.config.Silent(t.Host)
+		}
 		failed = r.Run == call.RunUnknown
 	} else {
 		result.Load = a.Load
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,7 +62,7 @@
 	d.floors = floor.NewStore(d.hub.Instance())
 	d.evidence = evidence.NewCounter(c.Host, incarnation)
 	d.charges = newCharges()
-	d.watch.clients = map[string]*peer.Client{}
+	d.watch.clients, d.watch.suspects = map[string]*peer.Client{}, map[string]bool{}
 	d.child = feed.NewChild(feed.ChildConfig{
 		Host: c.Host, Zone: c.Zone, Sources: c.Sources, Shape: c.Shape,
 		Clock: c.Clock, Draw: c.Draw, Dial: c.Dial, Traffic: &d.traffic,
@@ -76,7 +76,7 @@
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Draw: c.Draw, Ready: d.hub.Ready,
 		Hub: d.hub, Gate: d.gate, Evidence: d.evidence, Counters: c.Counters,
 		Charge: d.charge, Braked: d.brakes.braked, Claims: d.newTaker(incarnation),
-		Retries: c.Retries, Balance: c.Balance, Calls: c.Calls,
+		Retries: c.Retries, Balance: c.Balance, Calls: c.Calls, Silent: d.Suspect,
 	})
 	if err := d.listen(); err != nil {
 		d.closeServers()
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -12,7 +12,12 @@
 const (
 	watchPause   = time.Second
 	probeTimeout = 500 * time.Millisecond
-	helperCount  = 3
+	// helperCount is how many others are asked about a daemon. Of a fleet that
+	// has lost half of its hosts, one of them is alive in 31 cases of 32.
+	helperCount = 5
+	// helperMost is how long their answers are awaited: a little more than a
+	// helper's own probe takes.
+	helperMost = probeTimeout + 200*time.Millisecond
 	// probeConnections bounds the connections kept for probing. Which of them
 	// is closed for a new one does not matter.
 	probeConnections = 32
@@ -23,8 +28,9 @@
 
 // watcher holds the connections by which a daemon probes others.
 type watcher struct {
-	mutex   sync.Mutex
-	clients map[string]*peer.Client
+	mutex    sync.Mutex
+	clients  map[string]*peer.Client
+	suspects map[string]bool // Hosts that others are being asked about.
 }
 
 func (d *Daemon) probeClient(address string) *peer.Client {
@@ -109,9 +115,39 @@
 }
 
 func (d *Daemon) watchOne(r directory.Record) {
-	if d.ping(r.Peer, r.Host) {
+	if !d.ping(r.Peer, r.Host) {
+		d.judge(r)
+	}
+}
+
+// Suspect asks others about a host that acknowledged nothing of a call, and
+// declares its daemon gone if they can't reach it either. So all entries know
+// within about a second of a host that lost power; each by itself would lose a
+// call to it first. It returns at once.
+func (d *Daemon) Suspect(host string) {
+	r, ok := d.hub.Record(host)
+	if !ok || r.Gone || host == d.config.Host {
 		return
 	}
+	d.watch.mutex.Lock()
+	asked := d.watch.suspects[host]
+	d.watch.suspects[host] = true
+	d.watch.mutex.Unlock()
+	if asked {
+		return
+	}
+	d.config.Counters.Add("hosts_suspected", 1)
+	go func() {
+		d.judge(r)
+		d.watch.mutex.Lock()
+		delete(d.watch.suspects, host)
+		d.watch.mutex.Unlock()
+	}()
+}
+
+// judge declares a daemon that this one can't reach gone, if others can't
+// either.
+func (d *Daemon) judge(r directory.Record) {
 	verdict := directory.Judge(false, d.askHelpers(r))
 	d.config.Counters.Add("probes_missed", 1)
 	if verdict == directory.VerdictDoubt {
@@ -123,6 +159,7 @@
 	now := d.config.Clock()
 	if _, ok := d.hub.MarkGone(now, r.Host, r.Incarnation); ok {
 		d.config.Counters.Add("daemons_gone", 1)
+		d.config.Logger.Log("msg", "declares a daemon gone", "host", r.Host, "incarnation", r.Incarnation)
 		d.config.Events.Add(now, event.Event{Kind: "daemon-gone", Subject: r.Host, Text: "answers neither this daemon nor others"})
 	}
 }
@@ -144,8 +181,15 @@
 		go func() { answers <- d.askHelper(helper, suspect) }()
 	}
 	var all []directory.HelperAnswer
+	timer := time.NewTimer(helperMost)
+	defer timer.Stop()
 	for range asked {
-		all = append(all, <-answers)
+		select {
+		case a := <-answers:
+			all = append(all, a)
+		case <-timer.C:
+			return all
+		}
 	}
 	return all
 }
--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -177,3 +177,22 @@
 		f.Stop()
 	}
 }
+
+// TestSuspectedHost has an entry suspect hosts. One that others reach stays;
+// one that has crashed is declared gone.
+func TestSuspectedHost(t *testing.T) {
+	t.Parallel()
+	f := mesh(t, fleet.Config{}, 0)
+	d := f.Daemon("d0")
+	d.Suspect("d1")
+	f.StopDaemon("d2")
+	d.Suspect("d2")
+	eventually(t, "the word that it is gone", func() bool {
+		r, ok := f.Daemon("d1").Hub().Record("d2")
+		return ok && r.Gone
+	})
+	require.EqualValues(t, 2, d.Counters().Get("hosts_suspected"))
+	r, ok := d.Hub().Record("d1")
+	require.True(t, ok)
+	require.False(t, r.Gone)
+}
