--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -100,6 +100,7 @@
 	Skip      map[string]bool // Upstreams that refused it already, as "host/id".
 	Objective time.Duration   // What is left of its latency objective.
 	Bound     bool            // Whether it has one.
+	Repeat    bool            // Whether it may be tried again after a failure.
 }
 
 // Pick chooses among targets at now and counts the call as running there; the
@@ -214,7 +215,7 @@
 		}
 		return seconds
 	}
-	cost := missed(o, q.Objective.Seconds()) + tieWeight*seconds
+	cost := missed(o, q.Objective.Seconds()) + tieWeight*seconds + b.failing(now, q, t)
 	if t.Zone != b.config.Zone {
 		cost += b.config.AwayCost
 	}
@@ -233,11 +234,33 @@
 	tieWeight = 0.2
 	// coldCost is the cost of an upstream that has just come.
 	coldCost = 0.5
+	// failCost is the cost of a call that fails, and failRepeatCost that of one
+	// that may be tried again, if there is time and a retry left.
+	failCost       = 1.0
+	failRepeatCost = 0.5
+	// failMemory is the time in which the word of failures falls to 1/e.
+	failMemory  = 6 * time.Second
+	thousandths = 1000
 	// tail is the scale of the distribution of the time of calls above their
 	// mean, as a part of the mean.
 	tail = 0.85
 )
 
+// failing returns the cost of the failures that the gate of a target told of.
+// Old word counts for less, so that an upstream is tried again.
+func (b *Balancer) failing(now time.Time, q Query, t feed.Target) float64 {
+	s := b.states[keyOf(t)]
+	if s == nil || s.load.Failing == 0 {
+		return 0
+	}
+	age := now.Sub(s.loadAt).Seconds()
+	cost := failCost
+	if q.Repeat {
+		cost = failRepeatCost
+	}
+	return cost * float64(s.load.Failing) / thousandths * math.Exp(-age/failMemory.Seconds())
+}
+
 // missed returns about the probability that a call misses an objective.
 func missed(o outlook, left float64) float64 {
 	if left <= o.wait {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -52,6 +52,19 @@
 	require.Equal(t, map[string]int{"sound": 300}, picks(b, bound(time.Second), []feed.Target{silent, sound}))
 }
 
+// An upstream that fails a third of its calls is avoided while others have room,
+// also by an entry that has not seen it fail, and tried again later.
+func TestFailingUpstreamIsAvoided(t *testing.T) {
+	failing, sound := target("failing", "a"), target("sound", "a")
+	both := []feed.Target{failing, sound}
+	b := balance.New(balance.Config{Zone: "a"})
+	tell(b, sound, 2, 0, 50*time.Millisecond)
+	b.Done(now, failing, balance.Result{Load: call.Load{Running: 0, Limit: 6, Service: 50 * time.Millisecond, Failing: 333}})
+	require.Zero(t, picks(b, bound(time.Second), both)["failing"])
+	b.Done(now.Add(-time.Minute), failing, balance.Result{Load: call.Load{Running: 0, Limit: 6, Service: 50 * time.Millisecond, Failing: 333}})
+	require.NotZero(t, picks(b, bound(time.Second), both)["failing"])
+}
+
 // Calls stay in their data centre while they can make their objective there,
 // and leave it when waiting would miss it.
 func TestNearUntilTheObjectiveIsMissed(t *testing.T) {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -155,14 +155,17 @@
 	// Granted is, in thousandths, which part of the calls that are at least as
 	// urgent as the parent of a nested call found a slot lately; 0 if not told.
 	Granted int
+	// Failing is, in thousandths, which part of the upstream's calls failed
+	// lately.
+	Failing int
 }
 
-const loadFields = 5
+const loadFields = 6
 
 // String returns the load in the form that ParseLoad reads.
 func (l Load) String() string {
 	b := make([]byte, 0, 32)
-	for i, n := range [loadFields]int64{int64(l.Running), int64(l.Queued), int64(l.Limit), l.Service.Microseconds(), int64(l.Granted)} {
+	for i, n := range [loadFields]int64{int64(l.Running), int64(l.Queued), int64(l.Limit), l.Service.Microseconds(), int64(l.Granted), int64(l.Failing)} {
 		if i > 0 {
 			b = append(b, ' ')
 		}
@@ -193,5 +196,5 @@
 	if rest != "" {
 		return Load{}, ErrBadLoad
 	}
-	return Load{Running: int(n[0]), Queued: int(n[1]), Limit: int(n[2]), Service: time.Duration(n[3]) * time.Microsecond, Granted: int(n[4])}, nil
+	return Load{Running: int(n[0]), Queued: int(n[1]), Limit: int(n[2]), Service: time.Duration(n[3]) * time.Microsecond, Granted: int(n[4]), Failing: int(n[5])}, nil
 }
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -143,7 +143,7 @@
 
 func (e *Entry) pickTarget(now time.Time, c *routed, version string, skip map[string]bool) (feed.Target, bool) {
 	targets := e.config.Hub.View().Targets(c.service, version)
-	query := balance.Query{Skip: skip}
+	query := balance.Query{Skip: skip, Repeat: e.mayRunAgain(c)}
 	if until := c.objective(); !until.IsZero() {
 		query.Objective, query.Bound = until.Sub(now), true
 	}
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -90,3 +90,27 @@
 		require.False(t, h.answer(now, PullArgs{Host: "d", Zone: zone}).Elsewhere, zone)
 	}
 }
+
+// BenchmarkPack measures what a large change costs the source once, and each
+// child.
+func BenchmarkPack(b *testing.B) {
+	for _, routes := range []int{300, 1360} {
+		d := manyRoutes(b, routes).Delta(0, catalog.Digest{})
+		var data []byte
+		b.Run(fmt.Sprintf("pack/routes=%d", routes), func(b *testing.B) {
+			for b.Loop() {
+				var err error
+				data, err = packDelta(&d)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(sizeOf(&d)), "B-bodies")
+			b.ReportMetric(float64(len(data)), "B-packed")
+		})
+		b.Run(fmt.Sprintf("unpack/routes=%d", routes), func(b *testing.B) {
+			for b.Loop() {
+				_, err := unpackDelta(data)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
--- a/internal/upstream/do.go
+++ b/internal/upstream/do.go
@@ -139,6 +139,9 @@
 		cancelled := ctx.Err() == context.Canceled // By the caller, who has gone.
 		cancel()
 		refusal := call.AsRefusal(err)
+		if !cancelled && !refusal.Reached {
+			e.lane.judge(g.config.Clock(), true)
+		}
 		refusal.Load = e.lane.leave(g.config.Clock(), c.Route, took, true)
 		g.config.Counters.Add("gate_failed_"+string(refusal.Reason), 1)
 		g.config.Calls.Log(logs.ClassRefusal, "msg", "upstream failed", "id", g.config.CallID(c.Header), "upstream", c.Upstream,
@@ -147,6 +150,7 @@
 		return nil, refusal
 	}
 	g.config.Counters.Observe("upstream", "service", e.said.Service, took)
+	e.lane.judge(g.config.Clock(), answer.Status >= http.StatusInternalServerError)
 	answer.Body = &answerBody{ReadCloser: answer.Body, done: func(failed bool) {
 		cancel()
 		e.lane.leave(g.config.Clock(), c.Route, g.config.Clock().Sub(start), failed)
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -17,6 +17,7 @@
 type lane struct {
 	mutex    sync.Mutex
 	queue    queue
+	health   health
 	draining bool
 	closed   bool
 }
@@ -83,7 +84,14 @@
 
 func (l *lane) load() call.Load {
 	q := &l.queue
-	return call.Load{Running: q.running, Queued: len(q.waiting), Limit: q.limiter.limit(), Service: q.limiter.typical()}
+	return call.Load{Running: q.running, Queued: len(q.waiting), Limit: q.limiter.limit(), Service: q.limiter.typical(), Failing: l.health.failing()}
+}
+
+// judge counts whether the upstream answered a call soundly.
+func (l *lane) judge(now time.Time, failed bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.health.observe(now, failed)
 }
 
 // leave ends a call that ran. took is how long the upstream needed, or 0 if
