Directory: only a daemon's last word is gone by in its next life

Cause: found by reading. Change: the last report is marked, and only a marked record is gone by. Test: directory TestLastWordIsKept; fleet TestRestartedGateIsMissedBriefly waits for the mark.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 
 	record   recordKeeper
 	leaving  atomic.Bool
+	stopped  atomic.Bool
 	unproved atomic.Bool
 	stop     chan struct{}
 	duties   sync.WaitGroup
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -52,6 +52,8 @@
 		d.pause(leavePoll)
 	}
 	d.gate.Retire()
+	d.stopped.Store(true)
+	d.renewRecord()
 	d.child.ReportNow()
 	d.Stop()
 	return err
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -27,7 +27,7 @@
 		return // Not started yet.
 	}
 	r.Sequence++
-	r.Leaving = d.leaving.Load()
+	r.Leaving, r.Stopped = d.leaving.Load(), d.stopped.Load()
 	r.Upstreams = d.gate.Upstreams()
 	d.hub.Learn(d.config.Clock(), "", *r)
 }
--- a/internal/daemon/resume.go
+++ b/internal/daemon/resume.go
@@ -3,11 +3,11 @@
 import "github.com/endivewalk/endivewalk/internal/directory"
 
 // resume takes up the upstreams that an earlier life of the daemon had beside
-// it, if that life stopped in an orderly way: then its last record says whether
-// they were leaving. A daemon that was killed may have heard that an upstream
-// leaves and told nobody.
+// it, if the record is that life's last word: then it says whether they were
+// leaving. A daemon that was killed, or whose last word got lost, may have heard
+// that an upstream leaves and told nobody.
 func (d *Daemon) resume(r directory.Record) {
-	if d.config.Upstream == "" || !r.Leaving {
+	if d.config.Upstream == "" || !r.Stopped {
 		return
 	}
 	d.record.mutex.Lock()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -120,8 +120,8 @@
 }
 
 // MarkGone declares a daemon gone in the incarnation that was watched. It
-// returns false if newer word has come since. Of one that left in an orderly
-// way its upstreams stay noted, for its next life to go on with.
+// returns false if newer word has come since. Of one that stopped in an
+// orderly way its upstreams stay noted, for its next life to go on with.
 func (d *Directory) MarkGone(now time.Time, host string, incarnation uint64) (Record, bool) {
 	h := d.records[host]
 	if h == nil || h.record.Gone || h.record.Incarnation != incarnation {
@@ -129,7 +129,7 @@
 	}
 	r := h.record
 	r.Gone = true
-	if !r.Leaving {
+	if !r.Stopped {
 		r.Upstreams = nil
 	}
 	return r, d.merge(now, "", r)
--- a/internal/directory/record.go
+++ b/internal/directory/record.go
@@ -50,6 +50,7 @@
 	Sequence    uint64     `json:"sequence"`
 	Gone        bool       `json:"gone,omitempty"`
 	Leaving     bool       `json:"leaving,omitempty"`
+	Stopped     bool       `json:"stopped,omitempty"` // The daemon's last word before it stopped in an orderly way.
 	Zone        string     `json:"zone"`
 	Peer        string     `json:"peer"`  // Where other processes call it.
 	Gate        string     `json:"gate"`  // Where entries send calls to.
--- a/internal/directory/source_test.go
+++ b/internal/directory/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -28,3 +29,21 @@
 	require.NotZero(t, a)
 	require.NotEqual(t, a, directory.DigestSources([]directory.Source{{Address: "1a"}}))
 }
+
+// Of a daemon that has said its last word, what it said of its upstreams is
+// kept when others find it gone; of any other it is not.
+func TestLastWordIsKept(t *testing.T) {
+	for _, stopped := range []bool{true, false} {
+		var d directory.Directory
+		now := time.Unix(1000, 0)
+		r := directory.Record{
+			Host: "h", Zone: "a", Peer: "p", Gate: "g", Incarnation: 1, Sequence: 1, Leaving: true, Stopped: stopped,
+			Upstreams: []directory.Upstream{{ID: "w", Service: "s", Version: "v", Slots: 1, Connections: 1}},
+		}
+		require.Len(t, d.Merge(now, "", r), 1)
+		gone, ok := d.MarkGone(now, "h", 1)
+		require.True(t, ok)
+		require.Equal(t, stopped, len(gone.Upstreams) == 1)
+		require.Empty(t, d.Live())
+	}
+}
--- a/internal/fleet/leave_test.go
+++ b/internal/fleet/leave_test.go
@@ -79,6 +79,10 @@
 	})
 	require.GreaterOrEqual(t, time.Since(began), 800*time.Millisecond)
 	require.NoError(t, <-left)
+	eventually(t, "its last word", func() bool {
+		r, _ := f.Daemon("d0").Hub().Record("d2")
+		return r.Stopped
+	})
 	f.Standin("booking-d2-v1").Kill() // Nobody announces it any more.
 	d, err := f.StartDaemon("d2", zones[2])
 	require.NoError(t, err)
