Feed: a parent that is cut off from the source says so at once

The core was cut 3 to 4 at 11.3 s; daemons whose parent and second parent were both cut off heard that its word was old only after 2 s and the rest of a pull, up to 3 s, while a change accepted at 12.05 s had to be in force at 14.05 s. Ruled out: the order of near sources; pairs of it lie on both sides of the cut. Change: a pull ends when the parent's word gets stale, after 1.5 s in place of 2; a second parent that hears the source goes before one that does not. Tests that fail before: feed TestParentThatIsCutOffSaysSo, TestSecondParentIsNotStale.

--- a/internal/feed/parent.go
+++ b/internal/feed/parent.go
@@ -8,8 +8,10 @@
 
 const (
 	// staleAge is the age of the source's word at which a daemon looks for a
-	// parent that hears the source better.
-	staleAge = 2 * time.Second
+	// parent that hears the source better. It is more than an election takes, and
+	// leaves time to have a change in force within two seconds that was accepted
+	// when the parent was cut off.
+	staleAge = 1500 * time.Millisecond
 	// stalePenalty is how long a parent with old word is passed over.
 	stalePenalty = 3 * time.Second
 	backoffLeast = 50 * time.Millisecond
@@ -66,23 +68,28 @@
 	return "", wait, ""
 }
 
-// second returns the best candidate besides the parent, one that could be
-// reached lately if there is any.
+// second returns the best candidate besides the parent: one without a failure,
+// else one that hears little of the source, else any.
 func (p *parentChoice) second(parent string, candidates []string) string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	other := ""
+	stale, other := "", ""
 	for _, a := range candidates {
 		if a == parent {
 			continue
 		}
-		if f, failed := p.failures[a]; !failed || f.stale {
+		switch f, failed := p.failures[a]; {
+		case !failed:
 			return a
-		}
-		if other == "" {
+		case f.stale && stale == "":
+			stale = a
+		case !f.stale && other == "":
 			other = a
 		}
 	}
+	if stale != "" {
+		return stale
+	}
 	return other
 }
 
--- a/internal/feed/parent_test.go
+++ b/internal/feed/parent_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/endivewalk/endivewalk/internal/count"
 )
 
 var (
@@ -53,6 +55,35 @@
 	require.Equal(t, "b", p.second("a", candidates))
 }
 
+// The second parent is one that hears the source, if there is one: both on the
+// same side of a cut would be no help.
+func TestSecondParentIsNotStale(t *testing.T) {
+	var p parentChoice
+	candidates := []string{"a", "b", "c"}
+	p.result(came, "b", errStale, 1)
+	require.Equal(t, "c", p.second("a", candidates))
+	p.result(came, "c", errSilence, 1)
+	require.Equal(t, "b", p.second("a", candidates))
+}
+
+// A parent that is cut off from the source while a child waits says so soon, and
+// not when the child's wait is over.
+func TestParentThatIsCutOffSaysSo(t *testing.T) {
+	h := NewHub(HubConfig{Host: "s", Instance: 1, Source: true, Counters: &count.Set{}})
+	s := NewService(h, time.Now, nil)
+	began := time.Now()
+	h.Hear(began)
+	var reply PullReply
+	require.NoError(t, s.Pull(PullArgs{Host: "d", Instance: 1, Wait: maxWait}, &reply))
+	require.Greater(t, reply.Age, staleAge)
+	require.Less(t, time.Since(began), staleAge+500*time.Millisecond)
+
+	// A stale parent is waited for all the same, or its children would not rest.
+	again := time.Now()
+	require.NoError(t, s.Pull(PullArgs{Host: "d", Instance: 1, Wait: 300 * time.Millisecond}, &reply))
+	require.GreaterOrEqual(t, time.Since(again), 290*time.Millisecond)
+}
+
 // A parent that hears little of the source is passed over for a while, and used
 // if there are only such.
 func TestStaleParents(t *testing.T) {
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -33,9 +33,11 @@
 	return &Service{hub: h, clock: clock, latest: latest}
 }
 
-// Pull waits for something newer than the child has.
+// Pull waits for something newer than the child has. If this process ceases to
+// hear of the source's leader meanwhile, it answers at once, so that the child
+// can look for a better parent.
 func (s *Service) Pull(args PullArgs, reply *PullReply) error {
-	return s.await(args.Host, args.Wait, func() bool {
+	return s.await(args.Host, args.Wait, s.hub.untilStale, func() bool {
 		*reply = s.hub.answer(s.clock(), args)
 		if reply.Delta != nil || reply.Busy > 0 || reply.Elsewhere {
 			s.hub.compress(reply)
@@ -53,21 +55,29 @@
 
 // Notice waits for a revision newer than the child has.
 func (s *Service) Notice(args NoticeArgs, reply *NoticeReply) error {
-	return s.await(args.Host, args.Wait, func() bool {
+	return s.await(args.Host, args.Wait, nil, func() bool {
 		reply.Revision = s.hub.State().Revision()
 		return reply.Revision > args.Have
 	})
 }
 
 // await looks for an answer at each piece of news until there is one or the
-// child's wait is over.
-func (s *Service) await(host string, wait time.Duration, found func() bool) error {
+// child's wait is over. It also ends when until, if it is not nil, returns 0;
+// until tells how long after now that can't be.
+func (s *Service) await(host string, wait time.Duration, until func(now time.Time) time.Duration, found func() bool) error {
 	if !config.ValidName(host) || wait < 0 {
 		s.hub.config.Counters.Add("feed_bad_messages", 1)
 		return ErrBadMessage
 	}
 	deadline := time.NewTimer(min(wait, maxWait))
 	defer deadline.Stop()
+	check := time.NewTimer(maxWait)
+	defer check.Stop()
+	if until != nil {
+		if left := until(s.clock()); left > 0 {
+			check.Reset(left)
+		}
+	}
 	for {
 		wake := s.hub.Wake()
 		if found() {
@@ -77,10 +87,30 @@
 		case <-wake:
 		case <-deadline.C:
 			return nil
+		case <-check.C:
+			if until == nil {
+				continue
+			}
+			left := until(s.clock())
+			if left == 0 {
+				found() // Tells how old the source's word is now.
+				return nil
+			}
+			check.Reset(left)
 		}
 	}
 }
 
+// untilStale returns how long the source's word can't be stale yet, or 0 if it
+// is.
+func (h *Hub) untilStale(now time.Time) time.Duration {
+	left := staleAge - now.Sub(h.Heard())
+	if left < 0 {
+		return 0
+	}
+	return left + time.Millisecond
+}
+
 // answer returns what is newer than the child has at this moment.
 func (h *Hub) answer(now time.Time, args PullArgs) PullReply {
 	h.mutex.Lock()
