Fleet: the test of a restarted gate waits for all replicas

In each of these a replica still held the record before the last word when the daemon started; the daemon met that one and rightly resumed nothing.

--- a/internal/fleet/leave_test.go
+++ b/internal/fleet/leave_test.go
@@ -79,9 +79,15 @@
 	})
 	require.GreaterOrEqual(t, time.Since(began), 800*time.Millisecond)
 	require.NoError(t, <-left)
+	// A replica that has not heard the last word yet leads to no resuming, and the
+	// daemon may meet any of them.
 	eventually(t, "its last word", func() bool {
-		r, _ := f.Daemon("d0").Hub().Record("d2")
-		return r.Stopped
+		for i := range 3 {
+			if r, _ := f.Replica(i).Node.Hub().Record("d2"); !r.Stopped {
+				return false
+			}
+		}
+		return true
 	})
 	f.Standin("booking-d2-v1").Kill() // Nobody announces it any more.
 	d, err := f.StartDaemon("d2", zones[2])
