Response heads have a limit: an endless one used up the memory of the daemon

Cause: http.ReadResponse reads a status line, a header line and header lines without a limit, so an upstream that sends bytes without end in a head grew the heap until the request's deadline. The body of a response to another request was discarded without a limit, too. Ruled out: bodies (streamed, ended by the context) and trailers (bounded by the read buffer) did not grow the heap. Change: limitedConn, until now of the server only, also bounds what the client reads for a head (64 KiB); a mismatched body is read up to 64 KiB.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -57,6 +57,12 @@
 	// concurrently with waiting for its response. It is also the size of the
 	// chunks of a body of unknown length.
 	asyncWriteSize = 8 << 10
+	// maxResponseHeadBytes bounds the status line and the header of a response, and
+	// the informational responses before it.
+	maxResponseHeadBytes = 64 << 10
+	// maxMismatchedBytes bounds how much is read of the body of a response to
+	// another request, before the connection is closed.
+	maxMismatchedBytes = 64 << 10
 )
 
 // Client sends requests to one server, one at a time on each connection. It is
@@ -84,6 +90,7 @@
 // clientConn is a connection to the server.
 type clientConn struct {
 	net.Conn
+	limited    *limitedConn
 	reader     *bufio.Reader
 	reuseUntil time.Time // An idle connection is not reused from then on.
 }
@@ -180,7 +187,8 @@
 	if c.config.OnOpen != nil {
 		c.config.OnOpen()
 	}
-	return &clientConn{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+	limited := newLimitedConn(conn)
+	return &clientConn{Conn: conn, limited: limited, reader: bufio.NewReaderSize(limited, bufferSize)}, nil
 }
 
 // Do sends a request once and returns the response header. The body of the
@@ -287,11 +295,14 @@
 }
 
 // readResponse reads the header of the response to r. Responses to other requests
-// are dropped.
+// are dropped. It returns an error if a header or a dropped body is too long: a
+// faulty server may send bytes without end.
 func (c *Client) readResponse(conn *clientConn, r Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxMismatched {
+		conn.limited.remaining = maxResponseHeadBytes
 		response, err := http.ReadResponse(conn.reader, request)
+		conn.limited.remaining = unlimited
 		if err != nil {
 			return nil, err
 		}
@@ -301,8 +312,8 @@
 		if c.config.Matches(r.Header, response.Header) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-			return nil, errs.New("http1: the connection ended after a response to another request")
+		if _, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes); err != io.EOF || response.Close {
+			return nil, errs.New("http1: the connection is unusable after a response to another request")
 		}
 	}
 	return nil, errs.New("http1: too many responses to other requests")
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -42,33 +42,8 @@
 	idleTimeout     time.Duration // The limit for that; 0 means none.
 }
 
-// limitedConn limits the bytes that are read for a request's header.
-type limitedConn struct {
-	net.Conn
-	// remaining is the number of bytes that may still be read.
-	remaining int64
-}
-
-var errHeaderTooLarge = errors.New("http1: header over the limit")
-
-// Read implements io.Reader. It returns errHeaderTooLarge once no bytes remain.
-func (c *limitedConn) Read(p []byte) (int, error) {
-	if c.remaining <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	if int64(len(p)) > c.remaining {
-		p = p[:c.remaining]
-	}
-	n, err := c.Conn.Read(p)
-	c.remaining -= int64(n)
-	return n, err
-}
-
-// unlimited is the value of limitedConn.remaining outside of headers.
-const unlimited = 1 << 62
-
 func newServerConn(s *Server, conn net.Conn) *serverConn {
-	c := &serverConn{server: s, conn: conn, limited: &limitedConn{Conn: conn, remaining: unlimited}}
+	c := &serverConn{server: s, conn: conn, limited: newLimitedConn(conn)}
 	c.reader = bufio.NewReaderSize(c.limited, bufferSize)
 	c.writer = bufio.NewWriterSize(conn, bufferSize)
 	c.pipelineSlots = make(chan struct{}, s.config.MaxPipelined)
