Quorum: a follower that lost acknowledged entries is repaired

Cause: a leader never asked a member for an index that the member had acknowledged, so a follower whose log had lost its last record rejected every append until the leader changed; with the third replica away nothing was committed. Ruled out: the follower's hint (it was right). Change: a rejection with a lower hint takes the acknowledgement back, unless a newer round was acknowledged. Learners vote now; candidates count only those that they know as voters.

--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// A learner that was made a voter by an entry that it does not have yet votes for
+// the candidate that has the entry. If the leader's disk is lost at that moment,
+// there is no quorum without its vote.
+func TestLearnerVotesForCandidateThatPromotedIt(t *testing.T) {
+	members := []quorum.Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "a+"}}
+	c := newCore("a+", quorum.InitialState{Members: members})
+	for _, kind := range []quorum.MessageKind{quorum.MessagePreVote, quorum.MessageVote} {
+		c.Step(startTime.Add(time.Hour), quorum.Message{Kind: kind, From: "b", To: "a+", Term: 9, LogIndex: 1, LogTerm: 8})
+	}
+	replies := c.TakeOutput().Messages
+	require.Len(t, replies, 2)
+	for _, m := range replies {
+		require.False(t, m.Reject)
+	}
+}
+
 // Two member changes at the same time, or of two voters at once, could create
 // two disjoint majorities. A new voter that lacks committed entries could be
 // part of a quorum that loses them.
@@ -151,3 +167,87 @@
 	c.MarkSynced(c.Last(), startTime)
 	require.Equal(t, c.Last(), c.Commit())
 }
+
+// exchange passes the messages between two cores until none is left. Each core
+// syncs what it appends.
+func exchange(now time.Time, cores map[string]*quorum.Core) {
+	for range 20 {
+		idle := true
+		for _, id := range []string{"a", "b"} {
+			out := cores[id].TakeOutput()
+			if n := len(out.Append); n > 0 {
+				cores[id].MarkSynced(out.Append[n-1].Index, now)
+			}
+			for _, m := range out.Messages {
+				if to := cores[m.To]; to != nil {
+					to.Step(now, m)
+					idle = false
+				}
+			}
+		}
+		if idle {
+			return
+		}
+	}
+}
+
+// A follower whose disk lost entries that it had acknowledged is repaired by the
+// leader of the same term. Until then, the lost entries do not count as synced by
+// it; the third voter is away.
+func TestFollowerThatLostAcknowledgedEntriesIsRepaired(t *testing.T) {
+	a := newCore("a", quorum.InitialState{Members: threeVoters()})
+	electLeader(t, a)
+	now := startTime.Add(3 * election)
+	b := newCore("b", quorum.InitialState{Members: threeVoters()})
+	cores := map[string]*quorum.Core{"a": a, "b": b}
+	for range 3 {
+		_, _, err := a.Propose([]byte("x"))
+		require.NoError(t, err)
+	}
+	exchange(now, cores)
+	require.Equal(t, a.Last(), a.Match("b"))
+	require.Equal(t, a.Last(), a.Commit())
+
+	kept := b.EntriesAfterSnapshot()[:2]
+	cores["b"] = newCore("b", quorum.InitialState{Hard: b.HardState(), Members: threeVoters(), Entries: kept})
+	_, _, err := a.Propose([]byte("y"))
+	require.NoError(t, err)
+	a.MarkSynced(a.Last(), now)
+	for range 5 {
+		now = now.Add(heartbeat)
+		a.Tick(now)
+		exchange(now, cores)
+	}
+	require.Equal(t, a.Last(), cores["b"].Last())
+	require.Equal(t, a.Last(), a.Commit(), "nothing is committed while the third voter is away")
+}
+
+// While a follower has not been repaired, the entries that it lost count only for
+// the voters that still have them.
+func TestLostEntriesDoNotCountForCommit(t *testing.T) {
+	a := newCore("a", quorum.InitialState{Members: threeVoters()})
+	electLeader(t, a)
+	now := startTime.Add(3 * election)
+	_, _, err := a.Propose([]byte("x"))
+	require.NoError(t, err)
+	a.TakeOutput()
+	a.Step(now, quorum.Message{Kind: quorum.MessageAppendReply, From: "b", To: "a", Term: a.Term(), LogIndex: a.Last()})
+	a.Step(now, quorum.Message{
+		Kind: quorum.MessageAppendReply, From: "b", To: "a", Term: a.Term(), Reject: true, LogIndex: a.Last(), Hint: a.Last() - 1,
+	})
+	a.MarkSynced(a.Last(), now)
+	require.Equal(t, a.Last()-1, a.Match("b"))
+	require.Equal(t, a.Last()-1, a.Commit())
+}
+
+// A rejection that a newer acknowledgement has overtaken does not take that
+// acknowledgement back.
+func TestOvertakenRejectionIsIgnored(t *testing.T) {
+	a := newCore("a", quorum.InitialState{Members: threeVoters()})
+	electLeader(t, a)
+	now := startTime.Add(3 * election)
+	a.TakeOutput()
+	a.Step(now, quorum.Message{Kind: quorum.MessageAppendReply, From: "b", To: "a", Term: a.Term(), LogIndex: a.Last(), Round: 2})
+	a.Step(now, quorum.Message{Kind: quorum.MessageAppendReply, From: "b", To: "a", Term: a.Term(), Reject: true, LogIndex: a.Last(), Round: 1})
+	require.Equal(t, a.Last(), a.Match("b"))
+}
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -89,14 +89,16 @@
 	c.countVotes(now)
 }
 
-// handleVoteRequest replies to a pre-vote or vote request. A voter grants it
+// handleVoteRequest replies to a pre-vote or vote request. A member grants it
 // only if the candidate's log is at least as up to date as its own. It grants
-// one vote per term; a pre-vote grant is not recorded.
+// one vote per term; a pre-vote grant is not recorded. Learners vote, too: a
+// learner may have been made a voter by an entry that it does not have yet, and
+// candidates count only the votes of those that they know to be voters.
 func (c *Core) handleVoteRequest(now time.Time, m Message) {
 	isPreVote := m.Kind == MessagePreVote
 	upToDate := m.LogTerm > c.log.lastTerm() ||
 		(m.LogTerm == c.log.lastTerm() && m.LogIndex >= c.log.last())
-	grant := upToDate && m.Term >= c.hard.Term && c.isVoter(c.config.ID)
+	grant := upToDate && m.Term >= c.hard.Term && c.isMember(c.config.ID)
 	if isPreVote {
 		grant = grant && m.Term > c.hard.Term
 	} else {
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -61,6 +61,12 @@
 	return hasVoter(c.members(), id)
 }
 
+// isMember reports whether the member list in force has a voter or learner with
+// the given ID.
+func (c *Core) isMember(id string) bool {
+	return slices.ContainsFunc(c.members(), func(m Member) bool { return m.ID == id })
+}
+
 func hasVoter(members []Member, id string) bool {
 	return slices.ContainsFunc(members, func(m Member) bool { return m.ID == id && m.Voter })
 }
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -196,7 +196,9 @@
 }
 
 // handleAppendReply updates the progress of a member. A rejection starts a
-// probe for the last index at which its log matches.
+// probe for the last index at which its log matches. If that is before an index
+// that the member has acknowledged, its disk has lost entries: they no longer
+// count as synced by it, and it gets them again.
 func (c *Core) handleAppendReply(now time.Time, m Message) {
 	p := c.progress[m.From]
 	if c.role != RoleLeader || m.Term != c.hard.Term || p == nil {
@@ -204,9 +206,10 @@
 	}
 	p.lastReply = now
 	if m.Reject {
-		if p.probing && m.LogIndex != p.next-1 {
+		if p.probing && m.LogIndex != p.next-1 || m.Round < p.ackedRound {
 			return // This reply belongs to an earlier message.
 		}
+		p.match = min(p.match, m.Hint)
 		p.next = max(p.match+1, min(m.LogIndex, m.Hint+1))
 		p.probing, p.probeSent = true, false
 		return
--- a/internal/quorum/schedule_test.go
+++ b/internal/quorum/schedule_test.go
@@ -33,7 +33,11 @@
 // second right after the first replica was replaced. No committed entry may be
 // lost.
 func TestLostDisksLoseNoCommittedEntry(t *testing.T) {
+	seeds := []uint64{103, 151, 343, 351} // A learner that had just been promoted did not vote.
 	for seed := range uint64(20) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			g := newGroup(t, seed, 3)
