Status: readiness is about the configuration that is reported

Cause: Daemon.Status read the configuration in force and then asked whether the one in force by then may be served. If a newer one came in between, it reported an old revision as served: TestRandomKillsAndFreezesLoseNoChange failed once with "d1 serves revision 186 after 222". Ruled out: witnesses (of four, the three that must answer include one that had recorded the newest revision, also after a record was given up after 2 s); calls (they ask for readiness first and read the configuration afterwards). Change: Hub.Serves takes the configuration that its caller has read.

--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -28,7 +28,7 @@
 	state := d.hub.State()
 	s := Status{
 		Host: d.config.Host, Zone: d.config.Zone, Revision: state.Revision(), Digest: state.Table().Digest(),
-		Ready: d.hub.Ready(), Parent: d.feedClient.Parent(), Known: len(d.hub.View().Live()), Loads: d.inbound.Loads(),
+		Ready: d.hub.Serves(state), Parent: d.feedClient.Parent(), Known: len(d.hub.View().Live()), Loads: d.inbound.Loads(),
 		AgeMillis: -1,
 	}
 	for _, r := range d.hub.View().Staying() {
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -111,7 +111,12 @@
 // older than its minimum revision. The minimum is the revision that the source's
 // quorum had accepted when the daemon started, or the one that the daemon's
 // previous incarnation had in force.
-func (h *Hub) Ready() bool { return h.serves(h.State().Revision()) }
+func (h *Hub) Ready() bool { return h.Serves(h.State()) }
+
+// Serves reports whether a daemon may serve calls with configuration s, which State
+// has returned. Unlike Ready, it cannot be about a newer configuration than the one
+// that its caller goes on to use or to report.
+func (h *Hub) Serves(s *State) bool { return h.serves(s.Revision()) }
 
 // setMinRevision sets the revision from which on this process may serve calls.
 func (h *Hub) setMinRevision(r config.Revision) {
