A panic while one request is handled ends its connection, not the process

Cause: the HTTP server raised a handler's panic again in a goroutine of its own, so one unexpected error would have ended the daemon with all its calls. Before: TestPanicOfHandlerClosesItsConnectionOnly ends the test binary.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -36,6 +36,9 @@
 	// it is malformed or over a limit. It may be nil and may be called
 	// concurrently.
 	OnRejected func(status int, reason string)
+	// OnPanic is called with the value and the stack of a panic of the handler. It
+	// may be nil and may be called concurrently.
+	OnPanic func(cause any, stack []byte)
 }
 
 const (
@@ -74,6 +77,9 @@
 	if c.OnRejected == nil {
 		c.OnRejected = func(int, string) {}
 	}
+	if c.OnPanic == nil {
+		c.OnPanic = func(any, []byte) {}
+	}
 	return &Server{config: c, listeners: map[net.Listener]bool{}, conns: map[*serverConn]bool{}}
 }
 
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -220,3 +220,30 @@
 	_, err = reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// A panic of a handler closes its connection and is reported. Other connections are
+// served as before.
+func TestPanicOfHandlerClosesItsConnectionOnly(t *testing.T) {
+	causes := make(chan any, 1)
+	_, address := serve(t, http1.ServerConfig{
+		OnPanic: func(cause any, stack []byte) {
+			require.Contains(t, string(stack), "server_test.go")
+			causes <- cause
+		},
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/panic" {
+				panic("unexpected")
+			}
+		}),
+	})
+	other, otherReader := dial(t, address)
+	conn, reader := dial(t, address)
+	_, err := io.WriteString(conn, "GET /panic HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "a response that looks complete")
+	require.Equal(t, "unexpected", <-causes)
+	_, err = io.WriteString(other, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	readResponse(t, otherReader)
+}
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 )
@@ -283,7 +284,9 @@
 }
 
 // handle calls the handler and completes the response. A panic of the handler
-// closes the connection; http.ErrAbortHandler is recovered, as in net/http.
+// closes the connection and is reported to ServerConfig.OnPanic, except for
+// http.ErrAbortHandler. It does not end the process: one request must not break all
+// others.
 func (c *serverConn) handle(w *response, r *http.Request, body *requestBody) {
 	defer c.endRequest()
 	defer func() {
@@ -293,7 +296,7 @@
 				body.end(io.ErrUnexpectedEOF)
 			}
 			if cause != http.ErrAbortHandler {
-				panic(cause)
+				c.server.config.OnPanic(cause, debug.Stack())
 			}
 		}
 	}()
