--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/clip"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -48,13 +49,18 @@
 	return &Ring{process: process, zone: zone}
 }
 
+// maxTextBytes is the longest text of an event. A ring that is full of such events
+// takes 4 MiB.
+const maxTextBytes = 2 << 10
+
 // Add records an event that happened at now. It sets Process, Zone, Time and Sequence
-// of e.
+// of e, and shortens a very long Text.
 func (r *Ring) Add(now time.Time, e Event) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.lastSequence++
 	e.Time = now.UTC()
+	e.Text = clip.Text(e.Text, maxTextBytes)
 	e.Process = r.process
 	e.Zone = r.zone
 	e.Sequence = r.lastSequence
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -17,6 +17,7 @@
 	"github.com/kataras/iris/v12"
 	"github.com/zeebo/errs"
 
+	"github.com/endivewalk/endivewalk/internal/clip"
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/jsonc"
@@ -74,10 +75,14 @@
 	ctx.Write(append(data, '\n'))
 }
 
+// maxErrorBytes is the longest text of an error in a response. It holds dozens of
+// faults of a configuration, but not a value of megabytes that a fault quotes.
+const maxErrorBytes = 16 << 10
+
 // WriteError writes a response whose body is an operator.Failure with the text of
-// err.
+// err, shortened if it is very long.
 func WriteError(ctx iris.Context, status int, err error) {
-	WriteJSON(ctx, status, operator.Failure{Error: err.Error()})
+	WriteJSON(ctx, status, operator.Failure{Error: clip.Text(err.Error(), maxErrorBytes)})
 }
 
 // WriteBodyError writes the response for an error of ReadBody: status 413 for
--- a/internal/localhttp/api.go
+++ b/internal/localhttp/api.go
@@ -61,7 +61,12 @@
 		httpapi.WriteBodyError(ctx, err)
 		return
 	}
-	if err := a.Inbound.Announce(a.Clock(), body); err != nil {
+	err := a.Inbound.Announce(a.Clock(), body)
+	if errors.Is(err, upstream.ErrStale) {
+		httpapi.WriteError(ctx, http.StatusConflict, err)
+		return
+	}
+	if err != nil {
 		httpapi.WriteError(ctx, http.StatusUnprocessableEntity, err)
 		return
 	}
--- a/internal/localhttp/localhttp_test.go
+++ b/internal/localhttp/localhttp_test.go
@@ -57,6 +57,14 @@
 		"no slots":                     {`"slots": 4`, `"slots": 0`, "slots: want 1 to", http.StatusUnprocessableEntity},
 		"fewer connections than slots": {`"connections": 8`, `"connections": 2`, "at least the 4 slots", http.StatusUnprocessableEntity},
 		"invalid name":                 {`"w1"`, `"W 1"`, "no valid name", http.StatusUnprocessableEntity},
+		"port 0":                       {`:9000`, `:0`, "want an IP number and a port", http.StatusUnprocessableEntity},
+		"port out of range":            {`:9000`, `:70000`, "want an IP number and a port", http.StatusUnprocessableEntity},
+		"number too large":             {`"slots": 4`, `"slots": 1e400`, "slots", http.StatusBadRequest},
+		"number beyond 64 bits":        {`"slots": 4`, `"slots": 18446744073709551616`, "slots", http.StatusBadRequest},
+		"negative start":               {`"slots": 4`, `"slots": 4, "start": -1`, "start: want", http.StatusUnprocessableEntity},
+		"deeply nested":                {`"slots": 4`, `"slots": 4, "x": ` + strings.Repeat("[", 100_000), "", http.StatusBadRequest},
+		"duplicate field":              {`"slots": 4`, `"slots": 4, "slots": 5`, "slots", http.StatusBadRequest},
+		"long name":                    {`"w1"`, `"` + strings.Repeat("X", 900_000) + `"`, "id: ", http.StatusUnprocessableEntity},
 		"short lease":                  {`"3s"`, `"1ms"`, "lease: want", http.StatusUnprocessableEntity},
 		"unknown field":                {`"slots"`, `"slotz": 1, "slots"`, "slotz: unknown field", http.StatusBadRequest},
 		"wrong type":                   {`4,`, `"four",`, "slots: want a whole number", http.StatusBadRequest},
@@ -71,6 +79,7 @@
 			w := d.send("POST", "/v1/upstreams", strings.Replace(validAnnouncement, test.old, test.new, 1))
 			require.Equal(t, test.status, w.Code, w.Body)
 			require.Contains(t, w.Body.String(), jsonText(test.want))
+			require.Less(t, w.Body.Len(), 32<<10, "the response repeats what was sent")
 			require.EqualValues(t, 1, d.counters.Get("announcements_refused"))
 			require.Equal(t, before, d.inbound.Upstreams())
 		})
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-kit/log"
+
+	"github.com/endivewalk/endivewalk/internal/clip"
 )
 
 // Config configures a Writer. Out is required. Zero fields get their default.
@@ -49,8 +51,11 @@
 	return w
 }
 
+// maxLineBytes is the longest line. It holds the stack of a panic.
+const maxLineBytes = 8 << 10
+
 // Write adds one line, which must end with a newline, or drops it if too many are
-// pending. It does not wait for the output, keeps no reference to line and never returns
+// pending. It cuts a line of more than maxLineBytes. It does not wait for the output, keeps no reference to line and never returns
 // an error. After Close, lines only fill the memory, up to Config.MaxLines.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mutex.Lock()
@@ -60,7 +65,11 @@
 		return len(line), nil
 	}
 	w.pendingLines++
-	w.pending = append(w.pending, line...)
+	if len(line) > maxLineBytes {
+		w.pending = append(append(w.pending, clip.Text(string(line), maxLineBytes-1)...), '\n')
+	} else {
+		w.pending = append(w.pending, line...)
+	}
 	if w.pendingLines == 1 {
 		select {
 		case w.wake <- struct{}{}:
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -80,3 +80,16 @@
 	f(keyvals...)
 	return nil
 }
+
+// A line with a value of megabytes is cut, and the next line is written in full.
+func TestLongLineIsCut(t *testing.T) {
+	out := &bytes.Buffer{}
+	w := logs.NewWriter(logs.Config{Out: out})
+	w.Write([]byte("id=" + strings.Repeat("x", 5<<20) + "\n"))
+	w.Write([]byte("next\n"))
+	w.Close()
+	lines := strings.Split(out.String(), "\n")
+	require.Len(t, lines, 3)
+	require.Less(t, len(lines[0]), 10<<10)
+	require.Equal(t, "next", lines[1])
+}
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -26,6 +26,7 @@
 			s.callDaemon(http.MethodPost, "/v1/upstreams", upstream.Announcement{
 				ID: s.config.ID, Service: s.config.Service, Version: s.config.Version, Address: s.address,
 				Slots: s.config.Slots, Connections: s.config.Connections, Lease: config.Duration(s.config.Lease),
+				Start: s.started.UnixMilli(),
 			})
 		}
 		if !s.waitUnlessStopped(s.config.Lease / renewalsPerLease) {
--- a/internal/upstream/incarnation.go
+++ b/internal/upstream/incarnation.go
@@ -30,10 +30,24 @@
 // upstream has ended. A stale announcement changes nothing.
 var ErrStale = errs.New("upstream: stale announcement")
 
-// endedUpstream is an upstream that was replaced by another one at its address.
+// endedUpstream is an upstream that is not registered any more: it has left, its
+// lease has expired, or another one has replaced it at its address.
 type endedUpstream struct {
-	incarnation Incarnation
-	endedAt     time.Time
+	incarnation Incarnation // Of its last announcement.
+	// lapsed means that only the lease has expired: the upstream may have been paused,
+	// and announces itself again.
+	lapsed  bool
+	endedAt time.Time
+}
+
+// precedes reports whether an announcement with incarnation i comes from after the
+// end: from a later start or, if only the lease has expired, from later in the same
+// one. Announcements without a sequence count as later then.
+func (e endedUpstream) precedes(i Incarnation) bool {
+	if i.Start != e.incarnation.Start {
+		return i.Start > e.incarnation.Start
+	}
+	return e.lapsed && (i.Sequence == 0 || i.Sequence > e.incarnation.Sequence)
 }
 
 // endedRetention is how long an ended upstream is remembered, so that a delayed
@@ -50,11 +64,25 @@
 	}
 }
 
+// maxStartAhead is how far the start of an upstream may be ahead of the clock. If one
+// that is far ahead were accepted, all later announcements of the upstream would be
+// stale.
+const maxStartAhead = 24 * time.Hour
+
+// check validates the incarnation of an announcement that arrives at now. The error
+// matches ErrInvalid.
+func (i Incarnation) check(now time.Time) error {
+	if i.Start < 0 || i.Start > now.Add(maxStartAhead).UnixMilli() {
+		return errs.Combine(ErrInvalid, errs.New("start: want milliseconds since 1970, got %d", i.Start))
+	}
+	return nil
+}
+
 // Heartbeat handles an announcement that may arrive late or out of order. A
 // draining upstream gets no new calls until it restarts. The error is ErrStale or
 // ErrStopping, or matches ErrInvalid.
 func (p *Proxy) Heartbeat(now time.Time, a Announcement, incarnation Incarnation, draining bool) error {
-	if err := a.Check(); err != nil {
+	if err := errs.Combine(a.Check(), incarnation.check(now)); err != nil {
 		p.config.Counters.Add("announcements_refused", 1)
 		return err
 	}
@@ -94,7 +122,7 @@
 func (p *Proxy) admitHeartbeat(now time.Time, a Announcement, incarnation Incarnation) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if e, ok := p.ended[a.ID]; ok && incarnation.Start <= e.incarnation.Start {
+	if e, ok := p.ended[a.ID]; ok && !e.precedes(incarnation) {
 		return false
 	}
 	if r := p.upstreams[a.ID]; r != nil && !r.resumed && (incarnation.Start < r.incarnation.Start || incarnation.Start == r.incarnation.Start && incarnation.Sequence <= r.incarnation.Sequence) {
@@ -107,14 +135,25 @@
 		if !r.resumed && incarnation.Start < r.incarnation.Start {
 			return false
 		}
-		p.endUpstream(now, id, r)
+		p.replaceUpstream(now, id, r)
 	}
 	return true
 }
 
-// endUpstream removes an upstream and remembers that it has ended. The caller must
-// hold p.mutex.
+// endUpstream removes an upstream whose lease has expired, or that has left if it is
+// draining, and remembers that, if its announcements say when it started. The caller
+// must hold p.mutex.
 func (p *Proxy) endUpstream(now time.Time, id string, r *registration) {
+	delete(p.upstreams, id)
+	p.closeRegistration(r)
+	if r.incarnation.Start > 0 {
+		p.ended[id] = endedUpstream{incarnation: r.incarnation, lapsed: !r.draining, endedAt: now}
+	}
+}
+
+// replaceUpstream removes an upstream whose address another one has, and remembers
+// that it has ended. The caller must hold p.mutex.
+func (p *Proxy) replaceUpstream(now time.Time, id string, r *registration) {
 	delete(p.upstreams, id)
 	p.closeRegistration(r)
 	p.ended[id] = endedUpstream{incarnation: r.incarnation, endedAt: now}
@@ -129,8 +168,8 @@
 		r.resumed, r.announcement, r.incarnation = false, a, incarnation
 	}
 	if r.incarnation.Start != incarnation.Start {
-		p.endUpstream(now, a.ID, r)
-		delete(p.ended, a.ID)
+		delete(p.upstreams, a.ID)
+		p.closeRegistration(r)
 		p.mutex.Unlock()
 		return false
 	}
--- a/internal/upstream/incarnation_test.go
+++ b/internal/upstream/incarnation_test.go
@@ -102,3 +102,51 @@
 	}
 	require.Empty(t, p.Upstreams())
 }
+
+// An announcement that was sent before the upstream drained or left, and that
+// arrives afterwards, does not bring it back. Its next start does.
+func TestLateAnnouncementDoesNotUndoDrain(t *testing.T) {
+	p := newProxy()
+	a := announcement("w", "stock", address)
+	a.Start = 5
+	require.NoError(t, p.Announce(testStart, a))
+	require.NoError(t, p.Drain(testStart, "w"))
+	require.NoError(t, p.Announce(testStart, a))
+	require.Equal(t, map[string]directory.State{"w": directory.StateDraining}, states(p))
+	require.NoError(t, p.Remove(testStart, "w"))
+	require.ErrorIs(t, p.Announce(testStart, a), upstream.ErrStale)
+	require.Empty(t, p.Upstreams())
+	a.Start = 6
+	require.NoError(t, p.Announce(testStart, a))
+	require.Equal(t, map[string]directory.State{"w": directory.StateReady}, states(p))
+}
+
+// After its lease has expired, a late announcement does not bring an upstream back: it
+// may have ended, or have left. One that was only paused announces itself with a higher
+// sequence.
+func TestLateAnnouncementDoesNotUndoExpiry(t *testing.T) {
+	a := announcement("w", "stock", address)
+	for name, draining := range map[string]bool{"silent": false, "draining": true} {
+		p := newProxy()
+		require.NoError(t, p.Heartbeat(testStart, a, upstream.Incarnation{Start: 10, Sequence: 5}, draining), name)
+		expired := testStart.Add(time.Duration(a.Lease) + time.Second)
+		p.Expire(expired)
+		require.Empty(t, p.Upstreams(), name)
+		require.ErrorIs(t, p.Heartbeat(expired, a, upstream.Incarnation{Start: 10, Sequence: 4}, false), upstream.ErrStale, name)
+		err := p.Heartbeat(expired, a, upstream.Incarnation{Start: 10, Sequence: 6}, false)
+		require.Equal(t, draining, err != nil, name)
+		require.NoError(t, p.Heartbeat(expired, a, upstream.Incarnation{Start: 11, Sequence: 1}, false), name)
+	}
+}
+
+// The announcement of a paused upstream without a sequence is accepted after its lease
+// has expired.
+func TestPausedUpstreamAnnouncesItselfAgain(t *testing.T) {
+	p := newProxy()
+	a := announcement("w", "stock", address)
+	a.Start = 5
+	require.NoError(t, p.Announce(testStart, a))
+	expired := testStart.Add(time.Duration(a.Lease) + time.Second)
+	p.Expire(expired)
+	require.NoError(t, p.Announce(expired, a))
+}
--- a/internal/upstream/proxy.go
+++ b/internal/upstream/proxy.go
@@ -38,6 +38,10 @@
 	Slots       int             `json:"slots" jsonc:"required"`       // Calls that the upstream executes concurrently.
 	Connections int             `json:"connections" jsonc:"required"` // Largest number of connections to the upstream.
 	Lease       config.Duration `json:"lease" jsonc:"required"`       // Time until the announcement must be renewed.
+	// Start is when the upstream started, in milliseconds since 1970; 0 if it does not
+	// say. An announcement that was sent before the upstream drained or left, and that
+	// arrives later, is then told from one of its next start.
+	Start int64 `json:"start,omitempty"`
 }
 
 // Bounds of Announcement.Lease.
@@ -52,9 +56,12 @@
 	if err := a.directoryUpstream(time.Time{}, false).Check(); err != nil {
 		return errs.Combine(ErrInvalid, err)
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+	if address, err := netip.ParseAddrPort(a.Address); err != nil || address.Port() == 0 {
 		return errs.Combine(ErrInvalid, errs.New("address: want an IP number and a port, got %q", a.Address))
 	}
+	if a.Start < 0 {
+		return errs.Combine(ErrInvalid, errs.New("start: want milliseconds since 1970, got %d", a.Start))
+	}
 	if l := time.Duration(a.Lease); l < minLease || l > maxLease {
 		return errs.Combine(ErrInvalid, errs.New("lease: want %v to %v, got %v", minLease, maxLease, l))
 	}
@@ -134,8 +141,32 @@
 
 // Announce adds an upstream or renews its lease. An announcement that differs from
 // the last one, or that follows Drain, replaces the registration: running calls go
-// on, queued calls are rejected. The error is ErrStopping or matches ErrInvalid.
-func (p *Proxy) Announce(now time.Time, a Announcement) error { return p.announce(now, now, a) }
+// on, queued calls are rejected. With the Start of an upstream that has drained or
+// left, it does not: it only renews the lease of the former and is ErrStale for the
+// latter. The error is ErrStopping, ErrStale or matches ErrInvalid.
+func (p *Proxy) Announce(now time.Time, a Announcement) error {
+	if a.Start == 0 || a.Check() != nil {
+		return p.announce(now, now, a)
+	}
+	incarnation := Incarnation{Start: a.Start}
+	p.mutex.Lock()
+	e, ended := p.ended[a.ID]
+	stale := ended && !e.precedes(incarnation)
+	r := p.upstreams[a.ID]
+	drained := r != nil && r.draining && !r.resumed && a.Start <= r.announcement.Start
+	if drained {
+		r.leaseExpiry = now.Add(time.Duration(a.Lease))
+	}
+	p.mutex.Unlock()
+	if stale {
+		p.config.Counters.Add("announcements_stale", 1)
+		return ErrStale
+	}
+	if drained {
+		return nil
+	}
+	return p.announce(now, incarnation.startTime(now), a)
+}
 
 // announce is Announce for an upstream that started at startTime. A registration
 // that is renewed unchanged keeps its start time.
@@ -156,7 +187,7 @@
 		if r != nil {
 			p.closeRegistration(r)
 		}
-		r = &registration{announcement: a, startTime: startTime, scheduler: newScheduler(a.Slots), sender: p.config.NewSender(a)}
+		r = &registration{announcement: a, incarnation: Incarnation{Start: a.Start}, startTime: startTime, scheduler: newScheduler(a.Slots), sender: p.config.NewSender(a)}
 		r.scheduler.queue.limiter.fixed = p.config.FixedLimit
 		p.upstreams[a.ID] = r
 	}
@@ -213,8 +244,8 @@
 		p.mutex.Unlock()
 		return ErrUnknownUpstream
 	}
-	delete(p.upstreams, id)
-	p.closeRegistration(r)
+	r.draining = true // It has left: an announcement of the same start is a late one.
+	p.endUpstream(now, id, r)
 	p.mutex.Unlock()
 	p.recordChange(now, "left", r.announcement, "left")
 	return nil
@@ -234,8 +265,7 @@
 	var expired []Announcement
 	for id, r := range p.upstreams {
 		if now.After(r.leaseExpiry) {
-			delete(p.upstreams, id)
-			p.closeRegistration(r)
+			p.endUpstream(now, id, r)
 			expired = append(expired, r.announcement)
 		}
 	}
--- a/internal/upstream/resume.go
+++ b/internal/upstream/resume.go
@@ -59,9 +59,9 @@
 	return false
 }
 
-// sameUpstream reports whether two announcements are equal apart from lease and
-// connections.
+// sameUpstream reports whether two announcements are equal apart from lease,
+// connections and start.
 func (a Announcement) sameUpstream(other Announcement) bool {
-	a.Lease, a.Connections = other.Lease, other.Connections
+	a.Lease, a.Connections, a.Start = other.Lease, other.Connections, other.Start
 	return a == other
 }
