Counters: bytes of calls between data centres by cause

Adds remote_bytes_sent, remote_bytes_received, remote_calls, remote_calls_nested, remote_calls_refused and remote_body_bytes_refused, and a limit on the header of a daemon's response.

--- a/internal/caller/connpool.go
+++ b/internal/caller/connpool.go
@@ -31,6 +31,9 @@
 	// writeBufferBytes holds the header of a call and most bodies. Each
 	// connection has such a buffer.
 	writeBufferBytes = 8 << 10
+	// maxResponseHeadBytes bounds the header of a response, also against a faulty
+	// process at the address of a daemon.
+	maxResponseHeadBytes = 128 << 10
 )
 
 // connPools holds the connections to the inbound proxies of other daemons, in
@@ -59,8 +62,9 @@
 	return &connPools{dial: peer.Hedge(peer.DialTCP, hedgeDelay), counters: counters, pools: map[string]*connPool{}}
 }
 
-// get returns the pool for an address, which it creates if needed.
-func (p *connPools) get(address string) *connPool {
+// get returns the pool for an address, which it creates if needed. remote states that
+// the address is in another data centre; the bytes of such connections are counted.
+func (p *connPools) get(address string, remote bool) *connPool {
 	p.mutex.RLock()
 	pool := p.pools[address]
 	p.mutex.RUnlock()
@@ -70,7 +74,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.pools[address] == nil {
-		pool := &connPool{transport: p.newTransport()}
+		pool := &connPool{transport: p.newTransport(remote)}
 		pool.unresponsive, pool.markUnresponsive = context.WithCancel(context.Background())
 		p.pools[address] = pool
 	}
@@ -117,7 +121,7 @@
 	}
 }
 
-func (p *connPools) newTransport() *http.Transport {
+func (p *connPools) newTransport(remote bool) *http.Transport {
 	return &http.Transport{
 		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
 			conn, err := p.dial(address, dialTimeout)
@@ -127,11 +131,16 @@
 			if setUserTimeout(conn, unresponsiveTimeout) != nil {
 				p.counters.Add("silence_not_limited", 1)
 			}
+			if remote {
+				return countedConn{Conn: conn, counters: p.counters}, nil
+			}
 			return conn, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     writeBufferBytes,
+		// A daemon's header is a few hundred bytes and that of its upstream.
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 }
--- a/internal/caller/connpool_test.go
+++ b/internal/caller/connpool_test.go
@@ -57,7 +57,7 @@
 		}
 		return unresponsiveConn{client, never}, nil
 	}
-	pool := pools.get("a")
+	pool := pools.get("a", false)
 	first, second := make(chan error, 1), make(chan error, 1)
 	go func() { first <- roundTrip(t, pool) }()
 	require.Eventually(t, func() bool { return dials.Load() == 1 }, time.Second, time.Millisecond)
@@ -73,8 +73,8 @@
 	case <-time.After(time.Second):
 		t.Fatal("the other call to the unresponsive host did not end")
 	}
-	require.NotSame(t, pool, pools.get("a"))
-	require.NoError(t, pools.get("a").unresponsive.Err())
+	require.NotSame(t, pool, pools.get("a", false))
+	require.NoError(t, pools.get("a", false).unresponsive.Err())
 }
 
 // Timeouts of a read or a dial mean an unresponsive host. A refused or reset
--- /dev/null
+++ b/internal/caller/remotebytes.go
@@ -0,0 +1,45 @@
+package caller
+
+import (
+	"net"
+
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/feed"
+)
+
+// countedConn counts the bytes of a connection to a daemon of another data centre.
+type countedConn struct {
+	net.Conn
+	counters *count.Set
+}
+
+// Read implements io.Reader.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counters.Add("remote_bytes_received", int64(n))
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counters.Add("remote_bytes_sent", int64(n))
+	return n, err
+}
+
+// countRemote counts a call that was sent to a target in another data centre, and the
+// request bodies that crossed for nothing, since the call was not executed there.
+func (p *Proxy) countRemote(c *routedCall, t feed.Target, callErr *call.Error) {
+	if t.Zone == p.config.Zone {
+		return
+	}
+	p.config.Counters.Add("remote_calls", 1)
+	if c.urgency.Nested {
+		p.config.Counters.Add("remote_calls_nested", 1)
+	}
+	if callErr != nil && callErr.Execution == call.NotExecuted {
+		p.config.Counters.Add("remote_calls_refused", 1)
+		p.config.Counters.Add("remote_body_bytes_refused", max(0, c.body.length()))
+	}
+}
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -42,7 +42,7 @@
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	request := p.newRequest(httptrace.WithClientTrace(ctx, trace), now, c, t)
-	pool := p.connPools.get(t.Inbound)
+	pool := p.connPools.get(t.Inbound, t.Zone != p.config.Zone)
 	stop := context.AfterFunc(pool.unresponsive, cancel)
 	response, err := pool.transport.RoundTrip(request)
 	if err != nil {
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -212,8 +212,9 @@
 	result := balance.Result{}
 	failed := false
 	duration := now.Sub(start)
+	var callErr *call.Error
 	if err != nil {
-		callErr := call.AsError(err)
+		callErr = call.AsError(err)
 		result.Load = callErr.Load
 		result.Failed = callErr.Execution == call.ExecutionUnknown || callErr.Reason == call.ReasonUnreachable
 		result.Draining = callErr.Reason == call.ReasonDraining
@@ -228,6 +229,7 @@
 		failed = response.Status >= http.StatusInternalServerError
 	}
 	p.balancer.Done(now, t, result)
+	p.countRemote(c, t, callErr)
 	if c.parent != nil && result.Load.Granted > 0 {
 		p.config.Inbound.ReportAdmission(now, c.parent.Upstream, c.parent.Route, float64(result.Load.Granted)/config.FullShare)
 	}
