Placement: full queues are remembered, bytes weigh, bodies wait for a slot

Change: a refusal says for how long such calls would be refused; an entry sends none there until then, with pauses that double, and refuses at once if all are full (balance/full.go); at most two queues are asked; bytes between data centres weigh against the risk of missing the objective, but not for a call that was refused at home; bodies of 1 KB and more leave the data centre only when the call has a slot (100-continue); unknown loads count as the mean of the service in that data centre, not as none.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,6 +28,9 @@
 	// in another data centre, as a fraction of the cost of missing the
 	// objective. The default is 0.1.
 	RemoteZoneCost float64
+	// RemoteBytesPerMiss is how many bytes between data centres cost as much as a
+	// call that misses its latency objective. 0 means that they cost nothing.
+	RemoteBytesPerMiss float64
 	// BaseEjection is how long a failing upstream is ejected at first. Each
 	// further ejection doubles the time, at most five times and up to 30 s. The
 	// default is 1 s.
@@ -69,6 +72,7 @@
 	ejectedUntil   time.Time // Not used before this time if there are others.
 	ejections      int       // Consecutive ejections; a success resets them.
 	lastUsed       time.Time // When a call last started or ended.
+	full           map[fullKey]fullState
 }
 
 // Balancer chooses upstreams. It is safe for concurrent use. Create one with
@@ -77,6 +81,7 @@
 	config    Config
 	mutex     sync.Mutex
 	states    map[key]*upstreamState
+	services  map[zonedService]serviceLoad
 	lastSweep time.Time
 }
 
@@ -100,7 +105,7 @@
 	if c.RemoteCandidates == 0 {
 		c.RemoteCandidates = 1
 	}
-	return &Balancer{config: c, states: map[key]*upstreamState{}}
+	return &Balancer{config: c, states: map[key]*upstreamState{}, services: map[zonedService]serviceLoad{}}
 }
 
 func keyOf(t feed.Target) key { return key{host: t.Host, id: t.ID, incarnation: t.Incarnation} }
@@ -111,6 +116,10 @@
 	Objective    time.Duration   // The remaining time of the latency objective of the call; negative once it is missed.
 	HasObjective bool            // Whether the call has a latency objective.
 	Retryable    bool            // Whether the call may be retried after a failure.
+	Route        string          // The name of the route of the call.
+	Returning    bool            // Whether the caller was rejected before.
+	Bytes        float64         // The expected size of the call with its response.
+	Rejected     bool            // Whether a full upstream has rejected this call already.
 }
 
 // Pick chooses one of the targets at now and counts the call as in flight
@@ -124,7 +133,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.sweep(now)
-	local, remote := b.eligible(now, targets, q.Exclude)
+	local, remote := b.eligible(now, q, targets)
 	var candidates []feed.Target
 	candidates = append(candidates, sample(local, b.config.LocalCandidates, random)...)
 	candidates = append(candidates, sample(remote, b.config.LocalCandidates+b.config.RemoteCandidates-len(candidates), random)...)
@@ -143,14 +152,14 @@
 	return best, true
 }
 
-// eligible returns the ready targets that may be used, split into those of the
-// same data centre and those of other ones. If all of them are ejected, it
-// returns the ejected ones. The caller must hold mutex, as for all unexported
+// eligible returns the ready targets that may be used and are not full, split into
+// those of the same data centre and those of other ones. If all of them are ejected,
+// it returns the ejected ones. The caller must hold mutex, as for all unexported
 // methods of Balancer.
-func (b *Balancer) eligible(now time.Time, targets []feed.Target, exclude map[string]bool) (local, remote []feed.Target) {
+func (b *Balancer) eligible(now time.Time, q Query, targets []feed.Target) (local, remote []feed.Target) {
 	for _, includeEjected := range []bool{false, true} {
 		for _, t := range targets {
-			if t.State != 0 || exclude[t.Host+"/"+t.ID] || (!includeEjected && b.isEjected(now, t)) {
+			if t.State != 0 || q.Exclude[t.Host+"/"+t.ID] || b.isFull(now, q, t) || (!includeEjected && b.isEjected(now, t)) {
 				continue
 			}
 			if t.Zone == b.config.Zone {
@@ -192,28 +201,61 @@
 
 // estimateFor returns the expected timing of one more call at a target. The
 // calls of other daemons come from the latest load report: its running and
-// queued calls without those of this daemon.
+// queued calls without those of this daemon. As the report gets older, the mean
+// load of the service takes its place; otherwise upstreams whose load is not known
+// would look idle and attract the calls of all daemons.
 func (b *Balancer) estimateFor(now time.Time, t feed.Target) estimate {
-	running, limit, service := 0, t.Slots, defaultServiceTime
+	mean := b.services[zonedService{service: t.Service, zone: t.Zone}]
+	limit, service := float64(t.Slots), max(defaultServiceTime.Seconds(), mean.serviceSeconds)
+	own, others, age := 0.0, 0.0, loadTTL
 	if s := b.states[keyOf(t)]; s != nil {
-		running = s.running
+		own = float64(s.running)
 		if s.load.Limit > 0 {
-			limit = s.load.Limit
-			service = max(s.load.Service, time.Microsecond)
-		}
-		if now.Sub(s.loadTime) < loadTTL {
-			others := s.load.Running + s.load.Queued - s.ownCallsAtLoad
-			running += max(0, others)
+			limit = float64(s.load.Limit)
+			service = max(s.load.Service, time.Microsecond).Seconds()
+			others = float64(max(0, s.load.Running+s.load.Queued-s.ownCallsAtLoad))
+			age = min(loadTTL, now.Sub(s.loadTime))
 		}
 	}
-	e := estimate{service: service.Seconds()}
+	weight := age.Seconds() / loadTTL.Seconds()
+	running := own + (1-weight)*others + weight*max(0, mean.utilization*limit-own)
+	e := estimate{service: service}
 	if running >= limit {
-		e.wait = e.service * float64(running-limit+1) / float64(limit)
+		e.wait = e.service * (running - limit + 1) / limit
 	}
-	e.service *= 1 + contentionFactor*float64(running+1)/float64(limit)
+	e.service *= 1 + contentionFactor*(running+1)/limit
 	return e
 }
 
+// zonedService identifies the upstreams of a service in one data centre.
+type zonedService struct{ service, zone string }
+
+// serviceLoad is the mean load that the upstreams of a service in one data centre have
+// reported. The zero value means that none has.
+type serviceLoad struct {
+	utilization    float64 // Running and queued calls, as a fraction of the slots.
+	serviceSeconds float64 // The mean time that a call takes.
+}
+
+// serviceLoadWeight is the weight of a new report in the mean load of a service.
+const serviceLoadWeight = 0.1
+
+// recordServiceLoad adds the report of a target to the mean load of its service.
+func (b *Balancer) recordServiceLoad(t feed.Target, l call.Load) {
+	service := zonedService{service: t.Service, zone: t.Zone}
+	reported := serviceLoad{
+		utilization:    float64(l.Running+l.Queued) / float64(l.Limit),
+		serviceSeconds: l.Service.Seconds(),
+	}
+	mean, known := b.services[service]
+	if !known {
+		mean = reported
+	}
+	mean.utilization += serviceLoadWeight * (reported.utilization - mean.utilization)
+	mean.serviceSeconds += serviceLoadWeight * (reported.serviceSeconds - mean.serviceSeconds)
+	b.services[service] = mean
+}
+
 // cost returns a number by which targets are compared: the lowest is best. For
 // a call with an objective it is approximately the probability that the
 // objective is missed, and otherwise the seconds until the response. A target
@@ -234,7 +276,7 @@
 	}
 	cost := missProbability(e, q.Objective.Seconds()) + costPerSecond*seconds + b.failureCost(now, q, t)
 	if t.Zone != b.config.Zone {
-		cost += b.config.RemoteZoneCost
+		cost += b.remoteCost(q)
 	}
 	if penalised {
 		cost += slowStartPenalty
@@ -242,6 +284,18 @@
 	return cost
 }
 
+// remoteCost returns the cost of a call with a latency objective that leaves the data
+// centre. Among the calls that may leave it, those with few bytes do so first. The
+// bytes do not count for a call that has been rejected, since it would be refused
+// otherwise.
+func (b *Balancer) remoteCost(q Query) float64 {
+	cost := b.config.RemoteZoneCost
+	if b.config.RemoteBytesPerMiss > 0 && !q.Rejected {
+		cost += q.Bytes / b.config.RemoteBytesPerMiss
+	}
+	return cost
+}
+
 const (
 	// contentionFactor is how much longer a call takes at an upstream whose
 	// slots are all busy, as a fraction of its service time.
@@ -316,6 +370,12 @@
 	Failed       bool      // The target could not be reached, or the call failed without a response.
 	Draining     bool      // The target accepts no new calls; it is ejected for a fixed time.
 	Unresponsive bool      // The host acknowledges nothing at TCP level; a failed call ejects the target at once.
+	Route        string    // As in the Query.
+	Returning    bool      // As in the Query.
+	Rejected     bool      // The call was rejected because the queue was full.
+	// Opens is how long the target would reject such calls if no others arrived; 0 if
+	// unknown.
+	Opens time.Duration
 }
 
 // Done ends a call that Pick has counted, and records its outcome. Each further
@@ -331,6 +391,10 @@
 		s.load = r.Load
 		s.loadTime = now
 		s.ownCallsAtLoad = s.running
+		b.recordServiceLoad(t, r.Load)
+	}
+	if r.Rejected || !r.Failed && !r.Draining {
+		b.recordFull(now, t, s, r)
 	}
 	if r.Draining {
 		s.ejectedUntil = now.Add(drainingEjection)
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -33,6 +33,7 @@
 	HeaderHost     = "Endivewalk-Host"     // The host of the daemon that sends the call.
 	HeaderCaller   = "Endivewalk-Caller"   // The service beside whose daemon the caller runs.
 	HeaderRank     = "Endivewalk-Rank"     // The Urgency of the call.
+	HeaderOpens    = "Endivewalk-Opens"    // Microseconds for which the upstream would reject such calls.
 	HeaderAfter    = "Endivewalk-After"    // Microseconds after which the upstream may have room for a rejected call.
 	HeaderReached  = "Endivewalk-Reached"  // Set if the error response is that of the upstream itself.
 )
@@ -101,11 +102,14 @@
 // Error is an error response made by a proxy rather than by an upstream. It
 // implements error, so that the functions of the call path can return it.
 type Error struct {
-	Execution    Execution
-	Reason       Reason
-	Load         Load
-	RetryAfter   time.Duration // How long until the upstream may have room again; 0 if unknown.
-	FromUpstream bool          // The upstream itself reported that it did not execute the call.
+	Execution  Execution
+	Reason     Reason
+	Load       Load
+	RetryAfter time.Duration // How long until the upstream may have room again; 0 if unknown.
+	// Opens is how long the inbound proxy would reject calls like this one if no
+	// others arrived. Unlike RetryAfter it is not spread over callers. 0 if unknown.
+	Opens        time.Duration
+	FromUpstream bool // The upstream itself reported that it did not execute the call.
 	// Unresponsive means that the host of the inbound proxy acknowledged
 	// nothing at TCP level. Only the outbound proxy sets it.
 	Unresponsive bool
@@ -142,6 +146,9 @@
 	if e.RetryAfter > 0 {
 		h.Set(HeaderAfter, strconv.FormatInt(e.RetryAfter.Microseconds(), 10))
 	}
+	if e.Opens > 0 {
+		h.Set(HeaderOpens, strconv.FormatInt(e.Opens.Microseconds(), 10))
+	}
 	if e.FromUpstream {
 		h.Set(HeaderReached, "1")
 	}
--- a/internal/caller/connpool.go
+++ b/internal/caller/connpool.go
@@ -31,6 +31,9 @@
 	// writeBufferBytes holds the header of a call and most bodies. Each
 	// connection has such a buffer.
 	writeBufferBytes = 8 << 10
+	// expectTimeout is how long a body is held back until the inbound proxy asks for it.
+	// A call waits for a slot about as long as its objective at most.
+	expectTimeout = 5 * time.Second
 	// maxResponseHeadBytes bounds the header of a response, also against a faulty
 	// process at the address of a daemon.
 	maxResponseHeadBytes = 128 << 10
@@ -142,5 +145,6 @@
 		WriteBufferSize:     writeBufferBytes,
 		// A daemon's header is a few hundred bytes and that of its upstream.
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
+		ExpectContinueTimeout:  expectTimeout,
 	}
 }
--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -62,6 +62,8 @@
 	splitter       splitter
 	callerTimeouts timeoutTracker
 	connPools      *connPools
+	fullServices   fullServices
+	routeBytes     routeBytes
 	prunedView     atomic.Pointer[feed.View] // The latest argument of PruneConnections.
 }
 
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -21,6 +21,11 @@
 // the call was executed, can still arrive.
 const responseGrace = 50 * time.Millisecond
 
+// minExpectBytes is the size of a body from which on it is sent to another data centre
+// only once the inbound proxy there asks for it, that is, once the call has a slot. A
+// rejected call then costs no more than its header.
+const minExpectBytes = 1 << 10
+
 // send sends a call to a target once. The error is a *call.Error.
 func (p *Proxy) send(c *routedCall, t feed.Target) (*upstream.Response, error) {
 	if t.Host == p.config.Host {
@@ -87,6 +92,9 @@
 	if c.key != "" {
 		r.Header.Set(call.HeaderInnerKey, c.key)
 	}
+	if t.Zone != p.config.Zone && c.body.length() >= minExpectBytes {
+		r.Header.Set("Expect", "100-continue")
+	}
 	call.SetExpiry(r.Header, c.expiry)
 	if c.route.Retryable() {
 		r.Header.Set(call.HeaderRepeat, "safe")
@@ -109,22 +117,28 @@
 	load, _ := call.ParseLoad(r.Header.Get(call.HeaderLoad))
 	switch execution := call.Execution(r.Header.Get(call.HeaderRun)); execution {
 	case call.Executed:
-		micros, _ := strconv.ParseInt(r.Header.Get(call.HeaderTook), 10, 64)
 		return &upstream.Response{
 			Status: r.StatusCode, Header: r.Header, Body: body, Length: r.ContentLength,
-			Load: load, Duration: time.Duration(micros) * time.Microsecond,
+			Load: load, Duration: microsHeader(r, call.HeaderTook),
 		}, nil
 	case call.NotExecuted:
-		micros, _ := strconv.ParseInt(r.Header.Get(call.HeaderAfter), 10, 64)
 		return nil, &call.Error{
 			Execution: execution, Reason: call.Reason(r.Header.Get(call.HeaderReason)), Load: load,
-			RetryAfter: time.Duration(micros) * time.Microsecond, FromUpstream: r.Header.Get(call.HeaderReached) != "",
+			RetryAfter: microsHeader(r, call.HeaderAfter), Opens: microsHeader(r, call.HeaderOpens),
+			FromUpstream: r.Header.Get(call.HeaderReached) != "",
 		}
 	default:
 		return nil, &call.Error{Execution: call.ExecutionUnknown, Reason: call.ReasonBroken, Load: load}
 	}
 }
 
+// microsHeader returns the duration in a header that holds microseconds, or 0 if it is
+// missing or malformed.
+func microsHeader(r *http.Response, name string) time.Duration {
+	micros, _ := strconv.ParseInt(r.Header.Get(name), 10, 64)
+	return time.Duration(micros) * time.Microsecond
+}
+
 // cancelBody is a response body that releases the context of the call when it
 // is closed.
 type cancelBody struct {
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -21,6 +21,9 @@
 	// maxSends is the number of the send whose error is not followed by a retry,
 	// whether or not the sends are counted as attempts.
 	maxSends = 4
+	// maxFullQueues is how many queues may reject a call because they are full. If two
+	// that were expected to have room have none, others hardly have.
+	maxFullQueues = 2
 )
 
 // serveCall sends a call to one upstream after another until one responds or no
@@ -31,15 +34,15 @@
 	tried := map[string]bool{}
 	callErr := call.NotExecutedError(call.ReasonNoUpstream)
 	var fallback *upstream.Response // The latest response that led to a retry.
-	attempts := 0
+	attempts, fullQueues := 0, 0
 	for sends := 1; ; sends++ {
 		now := p.config.Clock()
 		if !now.Before(c.deadline) {
 			return fallbackOr(fallback, unlessUnknown(callErr, call.ReasonDeadline))
 		}
-		target, ok := p.pickTarget(now, c, version, tried)
+		target, ok := p.pickTarget(now, c, version, tried, fullQueues > 0)
 		if !ok {
-			return fallbackOr(fallback, callErr)
+			return fallbackOr(fallback, p.noTarget(now, c, version, tried, callErr))
 		}
 		tried[target.Host+"/"+target.ID] = true
 		response, err := p.send(c, target)
@@ -63,7 +66,10 @@
 		if callErr.Execution != call.NotExecuted || callErr.FromUpstream {
 			attempts++
 		}
-		if !p.mayRetryError(c, callErr) || attempts >= c.maxAttempts() || sends == maxSends {
+		if callErr.Reason == call.ReasonShed {
+			fullQueues++
+		}
+		if !p.mayRetryError(c, callErr) || attempts >= c.maxAttempts() || sends == maxSends || fullQueues == maxFullQueues {
 			return fallbackOr(fallback, callErr)
 		}
 		if !p.isFreeRetry(c, callErr) && !p.withdrawRetry(c) {
@@ -152,13 +158,37 @@
 	return false
 }
 
-func (p *Proxy) pickTarget(now time.Time, c *routedCall, version string, exclude map[string]bool) (feed.Target, bool) {
+func (p *Proxy) pickTarget(now time.Time, c *routedCall, version string, exclude map[string]bool, rejected bool) (feed.Target, bool) {
 	targets := p.config.Hub.View().Targets(c.service, version)
-	query := balance.Query{Exclude: exclude, Retryable: p.mayExecuteAgain(c)}
+	q := p.query(now, c, exclude)
+	q.Rejected = rejected
+	return p.balancer.Pick(now, q, targets, p.config.Random)
+}
+
+// query describes a call for the balancer.
+func (p *Proxy) query(now time.Time, c *routedCall, exclude map[string]bool) balance.Query {
+	q := balance.Query{
+		Exclude: exclude, Retryable: p.mayExecuteAgain(c), Route: c.route.Name(), Returning: c.elapsed > 0,
+		Bytes: p.routeBytes.mean(c.route.Name()),
+	}
 	if objective := c.objectiveTime(); !objective.IsZero() {
-		query.Objective, query.HasObjective = objective.Sub(now), true
+		q.Objective, q.HasObjective = objective.Sub(now), true
+	}
+	return q
+}
+
+// noTarget returns the error for a call that finds no target, given that of its last
+// attempt. If all targets are full, the call is rejected at once.
+func (p *Proxy) noTarget(now time.Time, c *routedCall, version string, exclude map[string]bool, callErr *call.Error) *call.Error {
+	if len(exclude) > 0 {
+		return callErr
+	}
+	opens, full := p.balancer.Opens(now, p.query(now, c, exclude), p.config.Hub.View().Targets(c.service, version))
+	if !full {
+		return callErr
 	}
-	return p.balancer.Pick(now, query, targets, p.config.Random)
+	p.config.Counters.Add("calls_shed_at_entry", 1)
+	return p.fullServices.reject(now, c.service, opens)
 }
 
 // shouldRetryResponse reports whether the status of a response calls for a
@@ -209,7 +239,7 @@
 // it also reports the admission rate to the inbound proxy of this daemon.
 func (p *Proxy) recordAttempt(c *routedCall, start time.Time, t feed.Target, move *config.Move, response *upstream.Response, err error) {
 	now := p.config.Clock()
-	result := balance.Result{}
+	result := balance.Result{Route: c.route.Name(), Returning: c.elapsed > 0}
 	failed := false
 	duration := now.Sub(start)
 	var callErr *call.Error
@@ -218,6 +248,8 @@
 		result.Load = callErr.Load
 		result.Failed = callErr.Execution == call.ExecutionUnknown || callErr.Reason == call.ReasonUnreachable
 		result.Draining = callErr.Reason == call.ReasonDraining
+		result.Rejected = callErr.Reason == call.ReasonShed
+		result.Opens = callErr.Opens
 		result.Unresponsive = callErr.Unresponsive
 		if callErr.Unresponsive && p.config.OnUnresponsive != nil {
 			p.config.OnUnresponsive(t.Host)
@@ -225,6 +257,8 @@
 		failed = callErr.Execution == call.ExecutionUnknown
 	} else {
 		result.Load = response.Load
+		p.fullServices.recordServed(now, c.service)
+		p.routeBytes.record(c.route.Name(), c.body.length(), response.Length)
 		duration = response.Duration
 		failed = response.Status >= http.StatusInternalServerError
 	}
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/retryafter"
 )
 
 // request describes a call that asks for a slot at an upstream.
@@ -35,7 +36,7 @@
 	// running is the number of calls that hold a slot.
 	running        int
 	waiting        []*waiter // In order of arrival.
-	retrySpacing   retrySpacing
+	retrySpacing   retryafter.Spacing
 	admissionRates admissionRates
 	shedder        shedder
 }
@@ -143,31 +144,50 @@
 	return work / time.Duration(limit)
 }
 
-// admit returns an empty reason if a call that arrives at now may run or be queued.
-// Otherwise it returns the reason to reject it and the retry-after delay, 0 if there
-// is none. A call that would miss its objective by waiting is admitted only if a
-// slot is free; then more than half of its expected time must remain until its
-// deadline.
-func (q *queue) admit(now time.Time, r request) (call.Reason, time.Duration) {
+// rejection states why a call is rejected. The zero value means that it is not.
+type rejection struct {
+	reason     call.Reason
+	retryAfter time.Duration // See call.Error.RetryAfter.
+	opens      time.Duration // See call.Error.Opens.
+}
+
+// admit returns the zero rejection if a call that arrives at now may run or be queued.
+// A call that would miss its objective by waiting is admitted only if a slot is free;
+// then more than half of its expected time must remain until its deadline.
+func (q *queue) admit(now time.Time, r request) rejection {
 	q.admissionRates.recordOffered(now, r)
 	if !r.nested && !q.shedder.admits(now, r.route, r.retry) {
-		return call.ReasonYield, q.retrySpacing.delay(now, shedRetryAfter, q.completionInterval())
+		return rejection{reason: call.ReasonYield, retryAfter: q.retrySpacing.Delay(now, shedRetryAfter, q.completionInterval())}
 	}
 	wait := q.expectedWait(now, r)
 	work := q.expectedTime(r.route)
 	if wait == 0 && now.Before(r.deadline) {
 		if !now.Add(work / 2).Before(r.deadline) {
-			return call.ReasonDeadline, 0
+			return rejection{reason: call.ReasonDeadline}
 		}
-		return "", 0
+		return rejection{}
 	}
 	if (r.nested || q.meetsObjective(now.Add(wait), r, objectiveAdmitMargin)) && now.Add(wait+work).Before(r.deadline) {
-		return "", 0
+		return rejection{}
 	}
 	if !now.Add(work).Before(r.deadline) {
-		return call.ReasonDeadline, 0
+		return rejection{reason: call.ReasonDeadline}
+	}
+	return q.shed(now, r, wait)
+}
+
+// shed returns the rejection of a call that would wait too long. It opens again once
+// the wait has become short enough or a slot is free.
+func (q *queue) shed(now time.Time, r request, wait time.Duration) rejection {
+	latest := r.objective.Add(-time.Duration(objectiveAdmitMargin * float64(q.expectedTime(r.route))))
+	if r.nested {
+		latest = r.deadline.Add(-q.expectedTime(r.route))
+	}
+	return rejection{
+		reason:     call.ReasonShed,
+		retryAfter: q.retrySpacing.Delay(now, wait, q.completionInterval()),
+		opens:      max(0, min(wait, now.Add(wait).Sub(latest))),
 	}
-	return call.ReasonShed, q.retrySpacing.delay(now, wait, q.completionInterval())
 }
 
 // evictExcess removes and returns the call that would run last, if more calls are
@@ -228,33 +248,5 @@
 	return removed
 }
 
-// retrySpacing spreads the retries of rejected callers, in order of rejection,
-// over the time in which capacity becomes free. This avoids a thundering herd. The
-// zero value is ready for use.
-type retrySpacing struct {
-	next time.Time // Earliest retry of the next rejected caller.
-}
-
-const (
-	// minRetryAfter keeps callers from retrying within a round trip.
-	minRetryAfter = 20 * time.Millisecond
-	// shedRetryAfter is the delay for callers whose calls were shed by priority.
-	shedRetryAfter = 200 * time.Millisecond
-	// maxRetryAfter bounds how far retries are spread: after that time most
-	// callers have given up.
-	maxRetryAfter = time.Second
-)
-
-// delay returns the retry-after delay of a caller that could be served after wait,
-// if one more caller can be served in each spacing.
-func (r *retrySpacing) delay(now time.Time, wait, spacing time.Duration) time.Duration {
-	at := now.Add(max(wait, minRetryAfter))
-	if r.next.After(at) {
-		at = r.next
-	}
-	r.next = at.Add(spacing)
-	if latest := now.Add(maxRetryAfter); r.next.After(latest) {
-		r.next = latest
-	}
-	return at.Sub(now)
-}
+// shedRetryAfter is the delay for callers whose calls were shed by priority.
+const shedRetryAfter = 200 * time.Millisecond
--- a/internal/upstream/queue_test.go
+++ b/internal/upstream/queue_test.go
@@ -102,9 +102,8 @@
 	for _, w := range s.queue.removeUnservable(s.now) {
 		s.rejectQueued(w, call.ReasonDeadline, 0)
 	}
-	reason, retryAfter := s.queue.admit(s.now, req)
-	if reason != "" {
-		s.retryOrReject(name, c, first, retry, retryAfter)
+	if rejected := s.queue.admit(s.now, req); rejected.reason != "" {
+		s.retryOrReject(name, c, first, retry, rejected.retryAfter)
 		return
 	}
 	w := &waiter{request: req, result: make(chan *call.Error, 1)}
--- a/internal/upstream/scheduler.go
+++ b/internal/upstream/scheduler.go
@@ -44,14 +44,14 @@
 		return nil, s.reject(call.ReasonDraining, 0)
 	}
 	s.rejectUnservable(now)
-	if reason, retryAfter := s.queue.admit(now, r); reason != "" {
-		return nil, s.rejectRequest(r, reason, retryAfter)
+	if rejected := s.queue.admit(now, r); rejected.reason != "" {
+		return nil, s.rejectRequest(r, rejected)
 	}
 	w := &waiter{request: r, result: make(chan *call.Error, 1)}
 	s.queue.waiting = append(s.queue.waiting, w)
 	s.grantSlots(now)
 	if evicted := s.queue.evictExcess(now); evicted != nil && !evicted.abandoned {
-		evicted.result <- s.reject(call.ReasonShed, s.queue.retrySpacing.delay(now, s.queue.expectedWait(now, evicted.request), s.queue.completionInterval()))
+		evicted.result <- s.rejectRequest(evicted.request, s.queue.shed(now, evicted.request, s.queue.expectedWait(now, evicted.request)))
 	}
 	return w, nil
 }
@@ -65,10 +65,11 @@
 	return e
 }
 
-// rejectRequest is like reject and adds what loadFor reports for the call. The
-// caller must hold s.mutex.
-func (s *scheduler) rejectRequest(r request, reason call.Reason, retryAfter time.Duration) *call.Error {
-	e := s.reject(reason, retryAfter)
+// rejectRequest is like reject and adds when the queue opens again and what loadFor
+// reports for the call. The caller must hold s.mutex.
+func (s *scheduler) rejectRequest(r request, rejected rejection) *call.Error {
+	e := s.reject(rejected.reason, rejected.retryAfter)
+	e.Opens = rejected.opens
 	e.Load = s.loadFor(r)
 	return e
 }
