A slow link ends no other calls; the host behind it is not silent

Cause: at peak load packets wait for more than half a second in the links of 4.4 Mbit/s. Change: a host is silent only if nothing has been received from it for 0.6 s; a connection may wait 1.2 s for an acknowledgement. Expect is not forwarded.

--- a/internal/call/message.go
+++ b/internal/call/message.go
@@ -13,7 +13,7 @@
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
--- a/internal/caller/connpool.go
+++ b/internal/caller/connpool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,12 +23,17 @@
 	// lost.
 	hedgeDelay = 200 * time.Millisecond
 	// unresponsiveTimeout is how long the host of a daemon may acknowledge
-	// nothing at TCP level. A kernel acknowledges within a round trip, however
-	// busy the daemon is; the rest allows for lost packets and for queues of a
-	// slow link.
-	unresponsiveTimeout = 600 * time.Millisecond
-	maxIdlePerHost      = 256              // Idle connections to one daemon.
-	idleTimeout         = 30 * time.Second // How long a connection is kept without calls.
+	// nothing of a connection at TCP level. A kernel acknowledges within a round
+	// trip, however busy the daemon is; the rest allows for lost packets and for
+	// queues of a slow link, in which packets wait for more than half a second at
+	// peak load.
+	unresponsiveTimeout = 1200 * time.Millisecond
+	// silenceTimeout is how long nothing may have been received from a host for it
+	// to count as unresponsive when a connection fails or cannot be opened. Packets
+	// of other connections that did arrive show that only the link is slow.
+	silenceTimeout = 600 * time.Millisecond
+	maxIdlePerHost = 256              // Idle connections to one daemon.
+	idleTimeout    = 30 * time.Second // How long a connection is kept without calls.
 	// writeBufferBytes holds the header of a call and most bodies. Each
 	// connection has such a buffer.
 	writeBufferBytes = 8 << 10
@@ -47,7 +53,8 @@
 // call that finds the host unresponsive therefore ends all other calls to that
 // host.
 type connPools struct {
-	dial     peer.Dial // Replaced by tests.
+	dial     peer.Dial        // Replaced by tests.
+	clock    func() time.Time // Replaced by tests.
 	counters *count.Set
 	mutex    sync.RWMutex
 	pools    map[string]*connPool // By address.
@@ -57,12 +64,13 @@
 // unresponsive.
 type connPool struct {
 	transport        *http.Transport
+	lastReceived     atomic.Int64       // When data was last received, in nanoseconds since 1970; 0 if never.
 	unresponsive     context.Context    // Done once the host is found unresponsive.
 	markUnresponsive context.CancelFunc // Ends unresponsive, and with it all calls of the pool.
 }
 
-func newConnPools(counters *count.Set) *connPools {
-	return &connPools{dial: peer.Hedge(peer.DialTCP, hedgeDelay), counters: counters, pools: map[string]*connPool{}}
+func newConnPools(clock func() time.Time, counters *count.Set) *connPools {
+	return &connPools{dial: peer.Hedge(peer.DialTCP, hedgeDelay), clock: clock, counters: counters, pools: map[string]*connPool{}}
 }
 
 // get returns the pool for an address, which it creates if needed. remote states that
@@ -77,20 +85,25 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.pools[address] == nil {
-		pool := &connPool{transport: p.newTransport(remote)}
+		pool := &connPool{}
+		pool.transport = p.newTransport(pool, remote)
 		pool.unresponsive, pool.markUnresponsive = context.WithCancel(context.Background())
 		p.pools[address] = pool
 	}
 	return p.pools[address]
 }
 
-// reportError checks whether the error of a call over a pool means that the host
-// is unresponsive. If so, it drops the pool, ends all calls over it and returns
+// reportError checks whether the error of a call over a pool, at now, means that the
+// host is unresponsive. If so, it drops the pool, ends all calls over it and returns
 // true.
-func (p *connPools) reportError(address string, pool *connPool, err error) bool {
+func (p *connPools) reportError(now time.Time, address string, pool *connPool, err error) bool {
 	if !isUnresponsive(err) {
 		return false
 	}
+	if now.Sub(time.Unix(0, pool.lastReceived.Load())) < silenceTimeout {
+		p.counters.Add("slow_links", 1)
+		return false
+	}
 	p.mutex.Lock()
 	if p.pools[address] == pool {
 		delete(p.pools, address)
@@ -124,7 +137,11 @@
 	}
 }
 
-func (p *connPools) newTransport(remote bool) *http.Transport {
+func (p *connPools) newTransport(pool *connPool, remote bool) *http.Transport {
+	var counters *count.Set
+	if remote {
+		counters = p.counters
+	}
 	return &http.Transport{
 		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
 			conn, err := p.dial(address, dialTimeout)
@@ -134,10 +151,7 @@
 			if setUserTimeout(conn, unresponsiveTimeout) != nil {
 				p.counters.Add("silence_not_limited", 1)
 			}
-			if remote {
-				return countedConn{Conn: conn, counters: p.counters}, nil
-			}
-			return conn, nil
+			return poolConn{Conn: conn, clock: p.clock, lastReceived: &pool.lastReceived, counters: counters}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -72,7 +72,7 @@
 func New(c Config) *Proxy {
 	c.Retries = c.Retries.withDefaults()
 	c.Balance.Zone = c.Zone
-	return &Proxy{config: c, balancer: balance.New(c.Balance), connPools: newConnPools(c.Counters)}
+	return &Proxy{config: c, balancer: balance.New(c.Balance), connPools: newConnPools(c.Clock, c.Counters)}
 }
 
 // Close closes the idle connections to other daemons.
--- a/internal/caller/remotebytes.go
+++ b/internal/caller/remotebytes.go
@@ -1,33 +1,10 @@
 package caller
 
 import (
-	"net"
-
 	"github.com/endivewalk/endivewalk/internal/call"
-	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/feed"
 )
 
-// countedConn counts the bytes of a connection to a daemon of another data centre.
-type countedConn struct {
-	net.Conn
-	counters *count.Set
-}
-
-// Read implements io.Reader.
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counters.Add("remote_bytes_received", int64(n))
-	return n, err
-}
-
-// Write implements io.Writer.
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.counters.Add("remote_bytes_sent", int64(n))
-	return n, err
-}
-
 // countRemote counts a call that was sent to a target in another data centre, and the
 // request bodies that crossed for nothing, since the call was not executed there.
 func (p *Proxy) countRemote(c *routedCall, t feed.Target, callErr *call.Error) {
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -52,7 +52,7 @@
 	response, err := pool.transport.RoundTrip(request)
 	if err != nil {
 		callErr := call.NoResponse(ctx, sent.Load())
-		callErr.Unresponsive = p.connPools.reportError(t.Inbound, pool, err) || pool.unresponsive.Err() != nil
+		callErr.Unresponsive = p.connPools.reportError(p.config.Clock(), t.Inbound, pool, err) || pool.unresponsive.Err() != nil
 		stop()
 		cancel()
 		return nil, callErr
