--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -17,17 +17,19 @@
 // Node is a running source replica. It is safe for concurrent use. Create one
 // with Start and end it with Stop.
 type Node struct {
-	config     Config
-	id         string
-	hub        *feed.Hub
-	consensus  *consensus
-	server     *peer.Server
-	traffic    peer.Traffic
-	links      links
-	zones      zones
-	leader     atomic.Value // A replica name (string), or "".
-	stop       chan struct{}
-	background sync.WaitGroup
+	config    Config
+	id        string
+	hub       *feed.Hub
+	consensus *consensus
+	server    *peer.Server
+	traffic   peer.Traffic
+	// confirmations serves Latest.
+	confirmations confirmations
+	links         links
+	zones         zones
+	leader        atomic.Value // A replica name (string), or "".
+	stop          chan struct{}
+	background    sync.WaitGroup
 
 	linksStarted bool // Guarded by links.mutex.
 
@@ -316,8 +318,13 @@
 }
 
 // Latest returns the newest accepted revision, which a quorum confirms after the
-// call began. Any error means that it could not be confirmed.
-func (n *Node) Latest() (config.Revision, error) {
+// call began. Concurrent calls share a confirmation. Any error means that it could not
+// be confirmed.
+func (n *Node) Latest() (config.Revision, error) { return n.confirmations.do(n.confirmLatest) }
+
+// confirmLatest returns the newest accepted revision, confirmed by a quorum for this
+// call alone.
+func (n *Node) confirmLatest() (config.Revision, error) {
 	leader, changed := n.currentLeader()
 	if leader == n.config.Name {
 		return n.latestLocally()
