Sends of one call have one limit; unknown outcomes keep their reason; an unreadable log is not damaged

The maximum of sends was compared by equality after an error alone, so that a response that led to a retry at the fourth send would have been followed by any number; an inbound proxy's "deadline passed, may have run" reached the caller as broken (502 instead of 504); a log that could not be read was set aside as damaged, so that a voter would have forgotten what it had acknowledged.

--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -135,7 +135,11 @@
 			FromUpstream: r.Header.Get(call.HeaderReached) != "",
 		}
 	default:
-		return nil, &call.Error{Execution: call.ExecutionUnknown, Reason: call.ReasonBroken, Load: load}
+		reason := call.ReasonBroken
+		if execution == call.ExecutionUnknown && r.Header.Get(call.HeaderReason) == string(call.ReasonDeadline) {
+			reason = call.ReasonDeadline
+		}
+		return nil, &call.Error{Execution: call.ExecutionUnknown, Reason: reason, Load: load}
 	}
 }
 
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -18,14 +18,27 @@
 	// sends, those that reached an upstream, or may have, are counted as
 	// attempts; one that an inbound proxy rejected by itself is not.
 	defaultMaxAttempts = 3
-	// maxSends is the number of the send whose error is not followed by a retry,
-	// whether or not the sends are counted as attempts.
+	// maxSends is how often a call is sent at most, whether or not the sends are counted
+	// as attempts.
 	maxSends = 4
 	// maxFullQueues is how many queues may reject a call because they are full. If two
 	// that were expected to have room have none, others hardly have.
 	maxFullQueues = 2
 )
 
+// sendCount counts what was done for one call.
+type sendCount struct {
+	sends      int // To an inbound proxy.
+	attempts   int // Sends that reached an upstream, or may have.
+	fullQueues int // Rejections by a full queue.
+}
+
+// exhausted reports whether the call must not be sent again, given the maximum number
+// of attempts of its route.
+func (n sendCount) exhausted(maxAttempts int) bool {
+	return n.sends >= maxSends || n.attempts >= maxAttempts || n.fullQueues >= maxFullQueues
+}
+
 // serveCall sends a call to one upstream after another until one responds or no
 // further retry is allowed. The error is a *call.Error.
 func (p *Proxy) serveCall(c *routedCall) (*upstream.Response, error) {
@@ -34,17 +47,18 @@
 	tried := map[string]bool{}
 	callErr := call.NotExecutedError(call.ReasonNoUpstream)
 	var fallback *upstream.Response // The latest response that led to a retry.
-	attempts, fullQueues := 0, 0
-	for sends := 1; ; sends++ {
+	count := sendCount{}
+	for {
 		now := p.config.Clock()
 		if !now.Before(c.deadline) {
 			return fallbackOr(fallback, unlessUnknown(callErr, call.ReasonDeadline))
 		}
-		target, ok := p.pickTarget(now, c, version, tried, fullQueues > 0)
+		target, ok := p.pickTarget(now, c, version, tried, count.fullQueues > 0)
 		if !ok {
 			return fallbackOr(fallback, p.noTarget(now, c, version, tried, callErr))
 		}
 		tried[target.Host+"/"+target.ID] = true
+		count.sends++
 		response, err := p.send(c, target)
 		if err == nil && isRoutedByHost(c.route) && bufferResponse(response) != nil {
 			err = call.UnknownError(call.ReasonBroken)
@@ -52,8 +66,8 @@
 		p.recordAttempt(c, now, target, move, response, err)
 		c.urgency.Retry = true
 		if err == nil {
-			attempts++
-			if !p.shouldRetryResponse(c, response) || attempts >= c.maxAttempts() || !p.withdrawRetry(c) {
+			count.attempts++
+			if !p.shouldRetryResponse(c, response) || count.exhausted(c.maxAttempts()) || !p.withdrawRetry(c) {
 				fallback.Discard()
 				return response, nil
 			}
@@ -64,12 +78,12 @@
 		}
 		callErr = mergeErrors(callErr, call.AsError(err))
 		if callErr.Execution != call.NotExecuted || callErr.FromUpstream {
-			attempts++
+			count.attempts++
 		}
 		if callErr.Reason == call.ReasonShed {
-			fullQueues++
+			count.fullQueues++
 		}
-		if !p.mayRetryError(c, callErr) || attempts >= c.maxAttempts() || sends == maxSends || fullQueues == maxFullQueues {
+		if !p.mayRetryError(c, callErr) || count.exhausted(c.maxAttempts()) {
 			return fallbackOr(fallback, callErr)
 		}
 		if !p.isFreeRetry(c, callErr) && !p.withdrawRetry(c) {
--- a/internal/disk/frame.go
+++ b/internal/disk/frame.go
@@ -114,9 +114,13 @@
 	}
 	state.Snapshot = snapshot
 	data, err := os.ReadFile(s.path(logName))
-	if err != nil {
+	if os.IsNotExist(err) {
 		return state, errs.Combine(ErrDamaged, err)
 	}
+	if err != nil {
+		// The records may be intact: a failure to read must not make a voter forget them.
+		return state, errs.New("disk: read log: %v", err)
+	}
 	validSize, err := replayLog(data, &state)
 	if err != nil {
 		return state, err
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -254,3 +254,17 @@
 		}
 	})
 }
+
+// A log that cannot be read is not damaged: its records may be intact, and a replica
+// that set them aside would forget what it has acknowledged. A log that is gone is.
+func TestUnreadableLogIsNotDamaged(t *testing.T) {
+	c := createFolder(t)
+	log := filepath.Join(c.Folder, "log")
+	require.NoError(t, os.Remove(log))
+	_, _, _, err := disk.Open(c)
+	require.ErrorIs(t, err, disk.ErrDamaged)
+	require.NoError(t, os.Mkdir(log, 0o755)) // Reading a folder fails.
+	_, _, _, err = disk.Open(c)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, disk.ErrDamaged)
+}
