Silence is measured on the monotonic clock; a panic without a hook ends the process

Reading the diff: the time of the last data was compared on the time of day, so that a step of the clock by a second would have made a host look silent or alive; a server without OnPanic swallowed a panic.

--- a/internal/caller/connpool.go
+++ b/internal/caller/connpool.go
@@ -55,6 +55,7 @@
 type connPools struct {
 	dial     peer.Dial        // Replaced by tests.
 	clock    func() time.Time // Replaced by tests.
+	start    time.Time        // When newConnPools was called.
 	counters *count.Set
 	mutex    sync.RWMutex
 	pools    map[string]*connPool // By address.
@@ -64,13 +65,13 @@
 // unresponsive.
 type connPool struct {
 	transport        *http.Transport
-	lastReceived     atomic.Int64       // When data was last received, in nanoseconds since 1970; 0 if never.
+	lastReceived     atomic.Int64       // When data was last received, in nanoseconds after connPools.start; 0 if never.
 	unresponsive     context.Context    // Done once the host is found unresponsive.
 	markUnresponsive context.CancelFunc // Ends unresponsive, and with it all calls of the pool.
 }
 
 func newConnPools(clock func() time.Time, counters *count.Set) *connPools {
-	return &connPools{dial: peer.Hedge(peer.DialTCP, hedgeDelay), clock: clock, counters: counters, pools: map[string]*connPool{}}
+	return &connPools{dial: peer.Hedge(peer.DialTCP, hedgeDelay), clock: clock, start: clock(), counters: counters, pools: map[string]*connPool{}}
 }
 
 // get returns the pool for an address, which it creates if needed. remote states that
@@ -100,7 +101,7 @@
 	if !isUnresponsive(err) {
 		return false
 	}
-	if now.Sub(time.Unix(0, pool.lastReceived.Load())) < silenceTimeout {
+	if last := time.Duration(pool.lastReceived.Load()); last > 0 && now.Sub(p.start)-last < silenceTimeout {
 		p.counters.Add("slow_links", 1)
 		return false
 	}
@@ -151,7 +152,7 @@
 			if setUserTimeout(conn, unresponsiveTimeout) != nil {
 				p.counters.Add("silence_not_limited", 1)
 			}
-			return poolConn{Conn: conn, clock: p.clock, lastReceived: &pool.lastReceived, counters: counters}, nil
+			return poolConn{Conn: conn, clock: p.clock, start: p.start, lastReceived: &pool.lastReceived, counters: counters}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/caller/connpool_test.go
+++ b/internal/caller/connpool_test.go
@@ -91,6 +91,7 @@
 		}()
 		return client, nil
 	}
+	now = now.Add(time.Second)
 	pool := pools.get("a", false)
 	require.NoError(t, roundTrip(t, pool))
 	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
--- a/internal/caller/poolconn.go
+++ b/internal/caller/poolconn.go
@@ -13,6 +13,7 @@
 type poolConn struct {
 	net.Conn
 	clock        func() time.Time
+	start        time.Time     // That of the pools.
 	lastReceived *atomic.Int64 // That of the pool.
 	counters     *count.Set    // Nil if the bytes are not counted.
 }
@@ -21,7 +22,7 @@
 func (c poolConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastReceived.Store(c.clock().UnixNano())
+		c.lastReceived.Store(int64(c.clock().Sub(c.start)))
 	}
 	if c.counters != nil {
 		c.counters.Add("remote_bytes_received", int64(n))
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -36,8 +36,9 @@
 	// it is malformed or over a limit. It may be nil and may be called
 	// concurrently.
 	OnRejected func(status int, reason string)
-	// OnPanic is called with the value and the stack of a panic of the handler. It
-	// may be nil and may be called concurrently.
+	// OnPanic is called with the value and the stack of a panic of the handler, after
+	// which only the connection is closed. It may be called concurrently. If it is nil,
+	// the panic ends the process.
 	OnPanic func(cause any, stack []byte)
 }
 
@@ -77,9 +78,6 @@
 	if c.OnRejected == nil {
 		c.OnRejected = func(int, string) {}
 	}
-	if c.OnPanic == nil {
-		c.OnPanic = func(any, []byte) {}
-	}
 	return &Server{config: c, listeners: map[net.Listener]bool{}, conns: map[*serverConn]bool{}}
 }
 
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -285,8 +285,7 @@
 
 // handle calls the handler and completes the response. A panic of the handler
 // closes the connection and is reported to ServerConfig.OnPanic, except for
-// http.ErrAbortHandler. It does not end the process: one request must not break all
-// others.
+// http.ErrAbortHandler. One request must not break all others.
 func (c *serverConn) handle(w *response, r *http.Request, body *requestBody) {
 	defer c.endRequest()
 	defer func() {
@@ -295,9 +294,13 @@
 			if body != nil {
 				body.end(io.ErrUnexpectedEOF)
 			}
-			if cause != http.ErrAbortHandler {
-				c.server.config.OnPanic(cause, debug.Stack())
+			if cause == http.ErrAbortHandler {
+				return
 			}
+			if c.server.config.OnPanic == nil {
+				panic(cause)
+			}
+			c.server.config.OnPanic(cause, debug.Stack())
 		}
 	}()
 	c.server.config.Handler.ServeHTTP(w, r)
