Start: one replica at a time is asked again, with the pauses of before

A failed try, taken back: asking the next source after 150 ms, and pauses under 100 ms until a daemon has reached any parent.

--- a/internal/feed/minrevision.go
+++ b/internal/feed/minrevision.go
@@ -11,10 +11,7 @@
 	latestTimeout = time.Second
 	// maxMinRevisionDelay is the maximum pause between two attempts to find the
 	// minimum revision. A daemon without one serves no calls.
-	maxMinRevisionDelay = 100 * time.Millisecond
-	// askNextDelay is how long a source replica may take to answer before the next one
-	// is asked, too. One that has just started itself may take long.
-	askNextDelay = 150 * time.Millisecond
+	maxMinRevisionDelay = 300 * time.Millisecond
 	// witnessTimeout is how long a revision is held back until a majority of the
 	// witnesses has recorded it. After that, a revision that they have not recorded
 	// does less harm than an outdated one.
@@ -54,35 +51,12 @@
 }
 
 // askSources returns the newest accepted revision from the first source replica
-// that can confirm it. It asks them in order of preference, the next one when one has
-// failed or takes longer than askNextDelay.
+// that can confirm it.
 func (c *Client) askSources() (config.Revision, bool) {
-	type answer struct {
-		revision config.Revision
-		ok       bool
-	}
-	addresses := c.sources()
-	answers := make(chan answer, len(addresses))
-	next := time.NewTicker(askNextDelay)
-	defer next.Stop()
-	asked, failed := 0, 0
-	for failed < len(addresses) {
-		if asked < len(addresses) {
-			address := addresses[asked]
-			asked++
-			go func() {
-				var reply LatestReply
-				err := c.Call(address, "Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout)
-				answers <- answer{reply.Revision, err == nil}
-			}()
-		}
-		select {
-		case a := <-answers:
-			if a.ok {
-				return a.revision, true
-			}
-			failed++
-		case <-next.C:
+	for _, address := range c.sources() {
+		var reply LatestReply
+		if c.Call(address, "Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout) == nil {
+			return reply.Revision, true
 		}
 	}
 	return 0, false
--- a/internal/feed/parent.go
+++ b/internal/feed/parent.go
@@ -19,11 +19,6 @@
 	// The backoff of an unreachable parent grows from minBackoff to maxBackoff.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 5 * time.Second
-	// maxStartAttempt is the attempt from which on the backoff does not grow until the
-	// first call succeeds. After a power loss of all hosts the sources start together
-	// with the daemons, which serve no call without them; a refused connection costs a
-	// source nothing.
-	maxStartAttempt = 1
 )
 
 // parentChoice decides which parent to pull from, by the results of earlier calls.
@@ -32,8 +27,6 @@
 type parentChoice struct {
 	mutex    sync.Mutex
 	failures map[string]failure // By address; none for a parent whose last call succeeded.
-	// succeeded is set by the first call that succeeds.
-	succeeded bool
 }
 
 // failure describes a candidate whose last call failed or that is stale.
@@ -130,7 +123,6 @@
 	}
 	if err == nil {
 		delete(p.failures, address)
-		p.succeeded = true
 		return
 	}
 	f := p.failures[address]
@@ -138,11 +130,7 @@
 	if f.stale {
 		f.retryAt = now.Add(staleRetryDelay)
 	} else {
-		attempt := f.count
-		if !p.succeeded {
-			attempt = min(attempt, maxStartAttempt)
-		}
-		f.retryAt = now.Add(backoff(attempt, random))
+		f.retryAt = now.Add(backoff(f.count, random))
 		f.count++
 	}
 	p.failures[address] = f
