HTTP server: connections end though their reader or their last request is late

Traced to two races. A reader that began to wait for the next request after the connection was closed for writing took the linger deadline back, so that the connection stayed open as long as its caller kept it. A connection whose response was written just before Drain, and whose request ended just after it, was neither idle then nor closed later. Change: a closed connection keeps its deadline; the end of the last request closes the connection once the server is drained. Before: TestClosedConnectionEndsForLateReader and TestConnectionClosesIfRequestEndsAfterDrain fail.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -58,6 +58,7 @@
 type Server struct {
 	config             ServerConfig
 	keepAlivesDisabled atomic.Bool
+	draining           atomic.Bool // Drain was called.
 	mutex              sync.Mutex
 	listeners          map[net.Listener]bool
 	// conns has the open connections; nil after Close.
@@ -141,6 +142,7 @@
 // others close after their last pending response. Drain does not wait for them.
 func (s *Server) Drain() {
 	s.keepAlivesDisabled.Store(true)
+	s.draining.Store(true)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for l := range s.listeners {
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -164,10 +164,10 @@
 }
 
 // setIdleDeadline sets the time by which the next request must begin: none while
-// requests are pending, and the idle timeout after that. The caller must hold
-// c.mutex.
+// requests are pending, and the idle timeout after that. A closed connection keeps the
+// deadline that closeAfterResponse sets. The caller must hold c.mutex.
 func (c *serverConn) setIdleDeadline() {
-	if !c.awaitingRequest {
+	if !c.awaitingRequest || c.closed {
 		return
 	}
 	var deadline time.Time
@@ -269,17 +269,20 @@
 	return true
 }
 
-// endRequest counts a request as complete.
+// endRequest counts a request as complete. If the server has been drained since the
+// response was written, the connection is idle now and closes.
 func (c *serverConn) endRequest() {
 	c.server.active.Add(-1)
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	c.pending--
 	if c.pending == 0 {
 		close(c.idle)
-		if !c.closed {
-			c.setIdleDeadline()
-		}
+		c.setIdleDeadline()
+	}
+	becameIdle := c.pending == 0 && !c.closed
+	c.mutex.Unlock()
+	if becameIdle && c.server.draining.Load() {
+		c.closeIdle()
 	}
 }
 
