--- a/internal/upstream/proxy.go
+++ b/internal/upstream/proxy.go
@@ -40,7 +40,7 @@
 	Lease       config.Duration `json:"lease" jsonc:"required"`       // Time until the announcement must be renewed.
 	// Start is when the upstream started, in milliseconds since 1970; 0 if it does not
 	// say. An announcement that was sent before the upstream drained or left, and that
-	// arrives later, is then told from one of its next start.
+	// arrives later, can then be distinguished from one of its next start.
 	Start int64 `json:"start,omitempty"`
 }
 
