Ended upstreams have one rule; what is kept per service is bounded

Reading the change as a newcomer: two functions ended an upstream and differed in one condition, and the loads and intervals of services that are gone were kept for ever. One function takes whether the upstream may return without a new start; both maps are dropped at a bound, as those of routes are. Ruled out: sharing the event heap of the two replay tests, ten lines, by a package of its own. One case is stricter: after its lease has expired, an upstream that does not say when it started is not brought back by an announcement with a lower sequence. Tests of upstream, localhttp, balance, caller and wire pass; no test changed.

--- a/internal/balance/serviceload.go
+++ b/internal/balance/serviceload.go
@@ -15,8 +15,13 @@
 	serviceSeconds float64 // The mean time that a call takes.
 }
 
-// serviceLoadWeight is the weight of a new report in the mean load of a service.
-const serviceLoadWeight = 0.1
+const (
+	// serviceLoadWeight is the weight of a new report in the mean load of a service.
+	serviceLoadWeight = 0.1
+	// maxServiceLoads bounds the services whose load is recorded, over all data centres.
+	// When it is reached, all of them are dropped.
+	maxServiceLoads = 1 << 16
+)
 
 // recordServiceLoad adds the report of a target to the mean load of its service.
 func (b *Balancer) recordServiceLoad(t feed.Target, l call.Load) {
@@ -25,6 +30,9 @@
 		utilization:    float64(l.Running+l.Queued) / float64(l.Limit),
 		serviceSeconds: l.Service.Seconds(),
 	}
+	if len(b.services) >= maxServiceLoads {
+		clear(b.services)
+	}
 	mean, known := b.services[service]
 	if !known {
 		mean = reported
--- a/internal/caller/fullservice.go
+++ b/internal/caller/fullservice.go
@@ -30,12 +30,15 @@
 	// maxServedInterval bounds the intervals, so that a pause without calls counts
 	// little.
 	maxServedInterval = time.Second
+	// maxFullServices bounds the services that are recorded. When it is reached, all of
+	// them are dropped.
+	maxFullServices = 4096
 )
 
 // get returns the state of a service, which it creates if needed. The caller must hold
 // f.mutex.
 func (f *fullServices) get(service string) *fullService {
-	if f.services == nil {
+	if f.services == nil || len(f.services) >= maxFullServices {
 		f.services = map[string]*fullService{}
 	}
 	s := f.services[service]
--- a/internal/upstream/incarnation.go
+++ b/internal/upstream/incarnation.go
@@ -34,8 +34,8 @@
 // lease has expired, or another one has replaced it at its address.
 type endedUpstream struct {
 	incarnation Incarnation // Of its last announcement.
-	// lapsed means that only the lease has expired: the upstream may have been paused,
-	// and announces itself again.
+	// lapsed means that the upstream may announce itself again without a new start: only
+	// its lease has expired, as when it was paused.
 	lapsed  bool
 	endedAt time.Time
 }
@@ -135,29 +135,23 @@
 		if !r.resumed && incarnation.Start < r.incarnation.Start {
 			return false
 		}
-		p.replaceUpstream(now, id, r)
+		p.endUpstream(now, id, r, false)
 	}
 	return true
 }
 
-// endUpstream removes an upstream whose lease has expired, or that has left if it is
-// draining, and remembers that, if its announcements say when it started. The caller
-// must hold p.mutex.
-func (p *Proxy) endUpstream(now time.Time, id string, r *registration) {
+// endUpstream removes an upstream and remembers that it has ended. lapsed is that of
+// endedUpstream. The caller must hold p.mutex.
+func (p *Proxy) endUpstream(now time.Time, id string, r *registration, lapsed bool) {
 	delete(p.upstreams, id)
 	p.closeRegistration(r)
-	if r.incarnation.Start > 0 {
-		p.ended[id] = endedUpstream{incarnation: r.incarnation, lapsed: !r.draining, endedAt: now}
-	}
+	p.ended[id] = endedUpstream{incarnation: r.incarnation, lapsed: lapsed, endedAt: now}
 }
 
-// replaceUpstream removes an upstream whose address another one has, and remembers
-// that it has ended. The caller must hold p.mutex.
-func (p *Proxy) replaceUpstream(now time.Time, id string, r *registration) {
-	delete(p.upstreams, id)
-	p.closeRegistration(r)
-	p.ended[id] = endedUpstream{incarnation: r.incarnation, endedAt: now}
-}
+// mayReturn reports whether an upstream whose lease expires, or that is removed, may
+// announce itself again without a new start: it has not said that it leaves, or never
+// says when it started.
+func (r *registration) mayReturn() bool { return !r.draining || r.incarnation.Start == 0 }
 
 // renew renews the lease of an upstream that has not restarted. If it has, or if
 // it differs from the resumed one, renew removes the registration and returns
--- a/internal/upstream/proxy.go
+++ b/internal/upstream/proxy.go
@@ -245,7 +245,7 @@
 		return ErrUnknownUpstream
 	}
 	r.draining = true // It has left: an announcement of the same start is a late one.
-	p.endUpstream(now, id, r)
+	p.endUpstream(now, id, r, r.mayReturn())
 	p.mutex.Unlock()
 	p.recordChange(now, "left", r.announcement, "left")
 	return nil
@@ -265,7 +265,7 @@
 	var expired []Announcement
 	for id, r := range p.upstreams {
 		if now.After(r.leaseExpiry) {
-			p.endUpstream(now, id, r)
+			p.endUpstream(now, id, r, r.mayReturn())
 			expired = append(expired, r.announcement)
 		}
 	}
