Review: a change planned against an older state ends the core for good; long answers are cut

After the restart of the whole core a change that drops a service is acknowledged, and all replicas panic at that entry, at each start.

--- a/review/tools/harness/main.go
+++ b/review/tools/harness/main.go
@@ -105,7 +105,7 @@
 }
 
 var cases = map[string]func(*scene) (string, error){
-	"dropped-route": droppedRoute,
+	"older-plan":    olderPlan,
 	"replayed-post": replayedPost,
 	"late-beat":     lateBeat,
 	"pipelined":     pipelined,
