Review: one configuration with a negative limit ends the core for good

All three replicas panic at the committed entry and at each later start. A configuration without its routes is acknowledged. The case of long answers gives up its place; it stays in the harness.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec sh "$folder/../case.sh" long-answers "$folder"
+exec sh "$folder/../case.sh" late-beat "$folder"
--- a/review/tools/harness/main.go
+++ b/review/tools/harness/main.go
@@ -108,6 +108,7 @@
 	"older-plan":    olderPlan,
 	"replayed-post": replayedPost,
 	"late-beat":     lateBeat,
+	"odd-config":    oddConfig,
 	"pipelined":     pipelined,
 	"long-answers":  longAnswers,
 }
