--- a/review/tools/harness/worker.go
+++ b/review/tools/harness/worker.go
@@ -173,12 +173,6 @@
 	return n
 }
 
-// end ends the worker: its connections are closed.
-func (w *worker) end() {
-	close(w.stop)
-	w.server.Close()
-}
-
 // answer is what a client got.
 type answer struct {
 	status    int // 0 if the connection ended without an answer.
