--- a/review/tools/harness/operator.go
+++ b/review/tools/harness/operator.go
@@ -104,7 +104,7 @@
 			return status
 		}
 		time.Sleep(pause)
-		pause = min(pause*3/2, 250*time.Millisecond)
+		pause = min(pause*5/4, 250*time.Millisecond)
 	}
 	return 0
 }
