HTTP server: huge limits reject nothing

What callers saw: under a configuration whose limits are as large as their types allow, as for "no limit", every request failed: sums of limit and slack overflowed to a deadline in the past. On arm64 a time of 1e10 s became the longest duration, on x86-64 a negative one, so one configuration was accepted by the one and refused by the other.

Evidence: http1 TestHugeLimitsRejectNothing failed before (EOF in place of the response).

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -5,6 +5,7 @@
 package http1
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -23,6 +24,17 @@
 	IdleTimeout    time.Duration // Between requests.
 }
 
+// maxLimit bounds sizes and times, so that slack can be added to them.
+const maxLimit = math.MaxInt64 / 2
+
+// bounded returns the limits without those that are too large to matter.
+func (l Limits) bounded() Limits {
+	l.MaxHeaderBytes = min(l.MaxHeaderBytes, maxLimit)
+	l.HeaderTimeout = min(l.HeaderTimeout, maxLimit)
+	l.IdleTimeout = min(l.IdleTimeout, maxLimit)
+	return l
+}
+
 // ServerConfig describes a Server. Handler is required.
 type ServerConfig struct {
 	Handler http.Handler
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -222,6 +223,24 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Limits that are as large as their types allow must not reject requests.
+func TestHugeLimitsRejectNothing(t *testing.T) {
+	_, address := serve(t, http1.ServerConfig{
+		Limits: func() http1.Limits {
+			return http1.Limits{MaxHeaderBytes: math.MaxInt, MaxBodyBytes: math.MaxInt64, HeaderTimeout: math.MaxInt64, IdleTimeout: math.MaxInt64}
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) }),
+	})
+	conn, reader := dial(t, address)
+	for range 2 {
+		_, err := conn.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"))
+		require.NoError(t, err)
+		response, body := readResponse(t, reader)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, "x", body)
+	}
+}
+
 // A panic of a handler closes its connection and is reported. Other connections are
 // served as before.
 func TestPanicOfHandlerClosesItsConnectionOnly(t *testing.T) {
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -115,7 +115,7 @@
 // complete; startRequest replaces it by that of the new request. readNext returns
 // false when the connection accepts no more requests.
 func (c *serverConn) readNext(handlers *sync.WaitGroup, lastDone *chan struct{}) bool {
-	limits := c.server.config.Limits()
+	limits := c.server.config.Limits().bounded()
 	if !c.awaitRequest(limits) {
 		return false
 	}
