Ledger: a change is accepted only if its result can be expanded

No configuration could be read or changed any more.

Cause: a replacement was validated by its sender alone, by other rules than those that expand it. The code that applies it validated nothing and panicked on the committed entry, in each replica, whenever it was applied.

Evidence: the replicas' output ends with the panic of State.Table, called after the entry was applied.

Change: whoever applies a replacement decides whether its result can be expanded, and refuses it otherwise; a disk that holds such an entry starts. The leader appends no command that fails Command.Check or would not decode: replacements, single objects, steps, moves, pins. Config.Check covers limits, services, sums of weights and keys; durations that cannot be read are not written.

Why it works: the decision is made by the same pure code in every replica, at the entry's place in the log, with the builder that the daemons use.

--- a/internal/expand/build.go
+++ b/internal/expand/build.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"maps"
 	"net/http"
 	"regexp"
 	"slices"
@@ -32,14 +31,6 @@
 	routes     []*Route
 }
 
-// decodedObject is an object in decoded form, with the body that it was decoded
-// from.
-type decodedObject struct {
-	body  []byte
-	value any
-	route *Route // Set for a HostRoute only.
-}
-
 // buildState is the state of one call of Builder.Build.
 type buildState struct {
 	builder          *Builder
@@ -57,6 +48,24 @@
 // table and Faults with all faults found, sorted by their text. Build keeps the
 // bodies of the objects; callers must not change them.
 func (b *Builder) Build(revision config.Revision, objects map[config.Key]config.Object) (*Table, error) {
+	bs := b.build(revision, objects)
+	b.prune(objects)
+	b.expanded = bs.expanded
+	if err := bs.err(); err != nil {
+		return nil, err
+	}
+	return bs.table, nil
+}
+
+// Check returns the Faults of a part of the objects, as if there were no others.
+// The part must include what its objects refer to. The decoded objects are kept
+// for the next Build.
+func (b *Builder) Check(part map[config.Key]config.Object) error {
+	return b.build(0, part).err()
+}
+
+// build expands objects and records the faults.
+func (b *Builder) build(revision config.Revision, objects map[config.Key]config.Object) *buildState {
 	bs := &buildState{
 		table: &Table{
 			revision:   revision,
@@ -79,62 +88,16 @@
 	bs.checkUnits()
 	bs.addLimits()
 	bs.checkMoves()
-	b.expanded = bs.expanded
-	if len(bs.faults) > 0 {
-		sort.Slice(bs.faults, func(i, j int) bool { return bs.faults[i].String() < bs.faults[j].String() })
-		return nil, bs.faults
-	}
-	return bs.table, nil
+	return bs
 }
 
-// decode decodes all objects, adds them to w, and drops objects from the cache
-// that are gone.
-func (b *Builder) decode(objects map[config.Key]config.Object, bs *buildState) {
-	if b.decoded == nil {
-		b.decoded = make(map[config.Key]decodedObject, len(objects))
-	}
-	var otherKeys []config.Key // Of all kinds but host routes. They are added in order: of two routes that collide, the later one gets the fault.
-	for k, o := range objects {
-		d, ok := b.decodeObject(k, o, bs)
-		switch {
-		case !ok:
-		case d.route != nil:
-			bs.addHostRoute(d.route)
-		default:
-			otherKeys = append(otherKeys, k)
-		}
-	}
-	slices.Sort(otherKeys)
-	for _, k := range otherKeys {
-		bs.add(b.decoded[k].value)
-	}
-	if len(b.decoded) > len(objects) {
-		maps.DeleteFunc(b.decoded, func(k config.Key, _ decodedObject) bool {
-			_, ok := objects[k]
-			return !ok
-		})
+// err returns the faults, sorted by their text, or nil if there are none.
+func (bs *buildState) err() error {
+	if len(bs.faults) == 0 {
+		return nil
 	}
-}
-
-// decodeObject decodes an object, unless the cache holds it with the same body.
-// If that fails, it records a fault and returns false.
-func (b *Builder) decodeObject(k config.Key, o config.Object, bs *buildState) (decodedObject, bool) {
-	d, ok := b.decoded[k]
-	if ok && bytes.Equal(d.body, o.Body) {
-		return d, true
-	}
-	value, err := o.Value()
-	if err != nil {
-		delete(b.decoded, k)
-		bs.fault(k, "", "%v", err)
-		return decodedObject{}, false
-	}
-	d = decodedObject{body: o.Body, value: value}
-	if r, ok := value.(config.HostRoute); ok {
-		d.route = newHostRoute(r)
-	}
-	b.decoded[k] = d
-	return d, true
+	sort.Slice(bs.faults, func(i, j int) bool { return bs.faults[i].String() < bs.faults[j].String() })
+	return bs.faults
 }
 
 // add adds a decoded object to the build. Host routes are added by
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -30,8 +30,15 @@
 	Step     *MoveStep
 	Replace  *Replace    `cbor:",omitempty"`
 	Pin      *PinVersion `cbor:",omitempty"`
+	// Rules is the version of the checks that Apply makes. The leader sets it to
+	// CurrentRules; entries of older builds have 0 and are decided as then.
+	Rules uint8 `cbor:",omitempty"`
 }
 
+// CurrentRules is the value of Command.Rules in new entries. From 1 on, Apply
+// makes the checks of Command.Check.
+const CurrentRules uint8 = 1
+
 // Change puts and removes objects. It is rejected as a conflict if any of them
 // was changed after revision Replaces.
 type Change struct {
@@ -80,11 +87,11 @@
 }
 
 // fingerprint returns a hash of what a command asks for, to recognize a resent
-// request. It leaves out the time, the replaced revision and the planned
-// objects of a Replace, because a resent request may arrive later and be
-// planned against a newer state.
+// request. It leaves out the time, the rules, the replaced revision and the
+// planned objects of a Replace, because a resent request may arrive later, at
+// another build, and be planned against a newer state.
 func (c Command) fingerprint() uint64 {
-	c.At = time.Time{}
+	c.At, c.Rules = time.Time{}, 0
 	if c.Change != nil {
 		change := *c.Change
 		change.Replaces = 0
--- a/internal/ledger/replace.go
+++ b/internal/ledger/replace.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -100,9 +101,8 @@
 	return o
 }
 
-// applyReplace replaces the full configuration. The resulting configuration is
-// not validated: it must have passed config.Config.Check before the command was
-// proposed, as source.Node.Replace requires. An invalid one makes Table panic.
+// applyReplace replaces the full configuration, unless the resulting one cannot be
+// expanded.
 func (s *State) applyReplace(c Command) Outcome {
 	r := c.Replace
 	if r.Base != s.Version() {
@@ -126,8 +126,14 @@
 			return s.reject(c, "%q is no part of a whole configuration", k)
 		}
 	}
+	remove := s.withMovesOfServices(r.Remove)
+	if err := s.checkReplacement(r.Version, put, remove); err != nil {
+		out := s.reject(c, "the configuration would be invalid: %v", err)
+		out.Faults, _ = err.(expand.Faults)
+		return out
+	}
 	s.origin = r.Origin
-	return s.commitRevision(c, put, s.withMovesOfServices(r.Remove))
+	return s.commitRevision(c, put, remove)
 }
 
 // withMovesOfServices returns remove and the keys of the moves of the services
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -53,8 +53,7 @@
 	if s.table.Revision() != s.Revision() {
 		table, err := s.builder.Build(s.Revision(), s.catalog.Objects())
 		if err != nil {
-			// Only changes that were valid when they were accepted are applied.
-			panic(err)
+			panic(err) // Unreachable: a change is accepted only if its result can be expanded.
 		}
 		s.table = table
 	}
@@ -104,6 +103,11 @@
 	if c.Request == "" || c.Operator == "" {
 		return s.reject(c, "a change needs a request id and an operator")
 	}
+	if c.Rules >= 1 {
+		if err := c.Check(); err != nil {
+			return s.reject(c, "%v", err)
+		}
+	}
 	switch {
 	case c.Change != nil:
 		return s.applyChange(c)
--- a/internal/source/consensus.go
+++ b/internal/source/consensus.go
@@ -175,10 +175,11 @@
 		}
 	}
 	c.planReplacement(p)
-	p.command.At = now.UTC().Round(0)
-	data, err := p.command.Encode()
+	p.command.At, p.command.Rules = now.UTC().Round(0), ledger.CurrentRules
+	data, err := encodeChecked(p.command)
 	if err != nil {
-		p.done <- proposeResult{err: err}
+		c.node.config.Counters.Add("changes_refused_invalid", 1)
+		p.done <- proposeResult{outcome: c.state.Refuse(p.command, err)}
 		return
 	}
 	index, term, err := c.core.Propose(data)
@@ -189,6 +190,20 @@
 	c.pendingProposals[index] = pendingProposal{term: term, done: p.done}
 }
 
+// encodeChecked returns the encoding of a valid command. It returns an error if a
+// replica could not apply the command: committed, it could not be taken back.
+func encodeChecked(command ledger.Command) ([]byte, error) {
+	if err := command.Check(); err != nil {
+		return nil, err
+	}
+	data, err := command.Encode()
+	if err != nil {
+		return nil, err
+	}
+	_, err = ledger.DecodeCommand(data)
+	return data, err
+}
+
 // diskFullResult returns the result of a command for which the disk has no room.
 // A resent command gets its stored outcome. If proposals are pending, the
 // result is ErrUnknown, because one of them may carry the same command.
--- a/internal/source/replace.go
+++ b/internal/source/replace.go
@@ -23,8 +23,12 @@
 
 // Replace proposes a replacement and returns its outcome. It must be called on
 // the leader; on other replicas the error matches ErrNoLeader, and LeaderMember
-// returns the replica to call. r.Config must have passed its Check.
+// returns the replica to call. The error matches config.ErrInvalidConfig if
+// r.Config is invalid.
 func (n *Node) Replace(r Replacement) (ledger.Outcome, error) {
+	if err := r.Config.Check(); err != nil {
+		return ledger.Outcome{}, err
+	}
 	objects, err := r.Config.Objects()
 	if err != nil {
 		return ledger.Outcome{}, err
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -34,7 +35,7 @@
 }
 
 // CallerLimits bounds what callers may send, and how long they may take to send
-// it. Sizes are in bytes. A zero field means no limit.
+// it. Sizes are in bytes. A zero field means no limit; a negative one is invalid.
 type CallerLimits struct {
 	HeaderBytes int      `json:"headerBytes,omitempty"`
 	BodyBytes   int64    `json:"bodyBytes,omitempty"`
@@ -73,30 +74,93 @@
 	if c.Version == 0 {
 		return invalidConfig("version", "want a positive number")
 	}
+	if err := c.Limits.check("limits"); err != nil {
+		return err
+	}
 	services := map[string]bool{}
 	for i, s := range c.Services {
 		place := fmt.Sprintf("services[%d]", i)
-		if !ValidName(s.Name) || services[s.Name] {
-			return invalidConfig(place, "name %q is invalid or stands twice", s.Name)
+		if err := s.check(place); err != nil {
+			return err
+		}
+		if services[s.Name] {
+			return invalidConfig(place, "name %q stands twice", s.Name)
 		}
 		services[s.Name] = true
 	}
-	routeNames := map[string]string{}
+	routeNames := map[Key]string{}
 	for i, r := range c.Routes {
 		place := fmt.Sprintf("routes[%d] (%s)", i, r.Name)
-		if err := r.check(place, services); err != nil {
+		if err := r.check(place); err != nil {
 			return err
 		}
-		hostAndPrefix := r.Host + "\x00" + r.Prefix
-		if other, ok := routeNames[hostAndPrefix]; ok {
+		for _, d := range r.Split {
+			if !services[d.Service] {
+				return invalidConfig(place, "service %q does not exist", d.Service)
+			}
+		}
+		if other, ok := routeNames[r.Key()]; ok {
 			return invalidConfig(place, "host %q and prefix %q are those of route %s", r.Host, r.Prefix, other)
 		}
-		routeNames[hostAndPrefix] = r.Name
+		routeNames[r.Key()] = r.Name
+	}
+	return nil
+}
+
+// Check checks the object by itself: its body must be the canonical form of a
+// value of its key, and a Fleet, Service or HostRoute must have valid values.
+// References to other objects are not checked. The error matches
+// ErrInvalidConfig.
+func (o Object) Check() error {
+	place := string(o.Key)
+	value, err := o.Value()
+	if err != nil {
+		return errs.Combine(ErrInvalidConfig, err)
+	}
+	canonical, err := MakeObject(value)
+	if err != nil {
+		return errs.Combine(ErrInvalidConfig, err)
+	}
+	if canonical.Key != o.Key || string(canonical.Body) != string(o.Body) {
+		return invalidConfig(place, "the body is not in its canonical form")
+	}
+	switch v := value.(type) {
+	case Fleet:
+		return v.Limits.check(place)
+	case Service:
+		return v.check(place)
+	case HostRoute:
+		return v.check(place)
+	default:
+		return nil
+	}
+}
+
+func (l CallerLimits) check(place string) error {
+	if l.HeaderBytes < 0 || l.BodyBytes < 0 || l.HeaderTime < 0 || l.IdleTime < 0 {
+		return invalidConfig(place, "a limit is negative")
 	}
 	return nil
 }
 
-func (r HostRoute) check(place string, services map[string]bool) error {
+func (s Service) check(place string) error {
+	switch {
+	case !ValidName(s.Name):
+		return invalidConfig(place, "name %q is invalid", s.Name)
+	case s.Version != "" && !ValidName(s.Version):
+		return invalidConfig(place, "version %q is invalid", s.Version)
+	case s.Deadline != DeadlineFinish && s.Deadline != DeadlineRollBack:
+		return invalidConfig(place, "deadline: want %q or %q, got %q", DeadlineFinish, DeadlineRollBack, s.Deadline)
+	case s.Connections < 0:
+		return invalidConfig(place, "connections is negative")
+	default:
+		return nil
+	}
+}
+
+// check checks the route by itself; the services of its destinations need not
+// exist.
+func (r HostRoute) check(place string) error {
 	switch {
 	case r.Host == "":
 		return invalidConfig(place, "host is empty")
@@ -115,16 +179,13 @@
 	}
 	sum := 0.0
 	for _, d := range r.Split {
-		if !services[d.Service] {
-			return invalidConfig(place, "service %q does not exist", d.Service)
-		}
-		if d.Weight < 0 {
-			return invalidConfig(place, "weight of %q is negative", d.Service)
+		if !(d.Weight >= 0) {
+			return invalidConfig(place, "weight of %q is negative or no number", d.Service)
 		}
 		sum += d.Weight
 	}
-	if sum <= 0 {
-		return invalidConfig(place, "the weights add up to 0")
+	if sum <= 0 || math.IsInf(sum, 1) {
+		return invalidConfig(place, "the weights add up to 0 or to more than a number can hold")
 	}
 	return nil
 }
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -46,7 +47,20 @@
 		"no service":                func(c *config.Config) { c.Routes[0].Split = nil },
 		"duplicate service":         func(c *config.Config) { c.Services = append(c.Services, c.Services[0]) },
 		"empty service name":        func(c *config.Config) { c.Services[0].Name = "" },
-		"negative objective":        func(c *config.Config) { c.Routes[0].Objective = -1 },
+		"negative idle time":        func(c *config.Config) { c.Limits.IdleTime = -1 },
+		"negative header time":      func(c *config.Config) { c.Limits.HeaderTime = -1 },
+		"negative header size":      func(c *config.Config) { c.Limits.HeaderBytes = -1 },
+		"negative body size":        func(c *config.Config) { c.Limits.BodyBytes = -1 },
+		"weights without a sum":     func(c *config.Config) { c.Routes[0].Split[0].Weight, c.Routes[0].Split[1].Weight = 1e308, 1e308 },
+		"weight that is no number":  func(c *config.Config) { c.Routes[0].Split[0].Weight = math.NaN() },
+		"negative connections":      func(c *config.Config) { c.Services[0].Connections = -1 },
+		"unknown deadline":          func(c *config.Config) { c.Services[0].Deadline = "never" },
+		"odd version":               func(c *config.Config) { c.Services[0].Version = "V 1" },
+		"same key of two routes": func(c *config.Config) {
+			c.Routes[0].Host, c.Routes[0].Prefix = "a\x00/b/", "/c/"
+			c.Routes[1].Host, c.Routes[1].Prefix = "a", "/b/\x00/c/"
+		},
+		"negative objective": func(c *config.Config) { c.Routes[0].Objective = -1 },
 	} {
 		c := validConfig()
 		invalidate(&c)
@@ -76,6 +90,19 @@
 	require.True(t, keys[renamed.Key()])
 }
 
+// A duration that cannot be read back must not be written.
+func TestDurationsAreWrittenOnlyIfReadable(t *testing.T) {
+	for _, d := range []config.Duration{math.MinInt64, -1, 0, 1, config.Duration(time.Hour), math.MaxInt64} {
+		text, err := d.MarshalText()
+		require.Equal(t, d > 0, err == nil, d)
+		if err == nil {
+			var read config.Duration
+			require.NoError(t, read.UnmarshalText(text))
+			require.Equal(t, d, read)
+		}
+	}
+}
+
 func ExampleConfig_Check() {
 	c := config.Config{Version: 1, Routes: []config.HostRoute{{
 		Name: "look", Host: "a.example", Prefix: "/look/", Repeat: config.RepeatSafe,
--- a/pkg/config/doc.go
+++ b/pkg/config/doc.go
@@ -56,9 +56,14 @@
 	return nil
 }
 
-// MarshalText returns the text that UnmarshalText reads. It never fails, but
-// UnmarshalText rejects the text of a duration that is not positive.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+// MarshalText returns the text that UnmarshalText reads. Like it, MarshalText
+// returns an error unless the duration is positive.
+func (d Duration) MarshalText() ([]byte, error) {
+	if d <= 0 {
+		return nil, errs.New("want a positive time span, got %q", d.String())
+	}
+	return []byte(d.String()), nil
+}
 
 // String formats the duration like time.Duration, as in "250ms".
 func (d Duration) String() string { return time.Duration(d).String() }
