Daemon: an acknowledged drain or leave binds the next incarnation

Cause: the acknowledgement was in the memory of the daemon's process only. The next incarnation accepted the late heartbeat as the first one of an unknown upstream; the directory record that could have told it had been replaced by its own.

Evidence: the log of the new incarnation shows no stale heartbeat; the record of a killed daemon holds no upstreams.

Change: a drain or leave is acknowledged once the source has committed a retirement of that start of the upstream. A starting daemon gets the retirements of its host with its minimum revision, and holds announcements until then. Same for draining heartbeats, leaves of unknown upstreams, leaves of earlier starts (which drained the next one before), and the local HTTP interface.

Why it works: the retirement is on a quorum's disks before the answer, and the read that the new incarnation waits for includes everything committed before it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,7 @@
 	addresses      Addresses
 
 	record      ownRecord
+	startedAt   time.Time
 	leaving     atomic.Bool
 	stopped     atomic.Bool
 	unconfirmed atomic.Bool
@@ -57,7 +58,7 @@
 func Start(c Config) (*Daemon, error) {
 	c = c.withDefaults()
 	now := c.Clock()
-	d := &Daemon{config: c, stop: make(chan struct{})}
+	d := &Daemon{config: c, startedAt: now, stop: make(chan struct{})}
 	// The incarnation orders the records of this host; the instance differs each
 	// time the process starts.
 	incarnation := uint64(now.UnixMilli())
@@ -71,10 +72,10 @@
 		Host: c.Host, Zone: c.Zone, Sources: c.Sources, Shape: c.Shape,
 		Clock: c.Clock, Random: c.Random, Dial: c.Dial, Traffic: &d.traffic,
 		OnRejected: d.recordRejectedRevision, OnParent: d.recordParent,
-		MinRevision: feed.MinRevisionConfig{Witnesses: c.Witnesses, OnConfirmation: d.recordConfirmation},
+		MinRevision: feed.MinRevisionConfig{Witnesses: c.Witnesses, OnConfirmation: d.recordConfirmation}, OnRetirements: d.setRetirements,
 	}, d.hub)
 	d.inbound = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, OnChange: d.renewRecord,
-		NewSender: c.NewSender, FixedLimit: c.FixedLimit, CallLog: c.CallLog, CallID: c.CallID,
+		NewSender: c.NewSender, FixedLimit: c.FixedLimit, CallLog: c.CallLog, CallID: c.CallID, AwaitRetirements: true,
 	})
 	d.outbound = caller.New(caller.Config{
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Random: c.Random, Ready: d.hub.Ready,
@@ -258,6 +259,7 @@
 	for d.pause(housekeepingInterval) {
 		now := d.config.Clock()
 		d.inbound.Expire(now)
+		d.releaseAnnouncements(now)
 		d.hub.Expire(now)
 		d.outbound.PruneConnections(d.hub.View())
 		d.correctRecord()
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -46,6 +46,10 @@
 	// parent, or of the same one after it has restarted. It may be nil.
 	OnParent    func(address string)
 	MinRevision MinRevisionConfig
+	// OnRetirements is called, before the daemon may serve, with the retirements of its
+	// upstreams that the source has recorded. If only witnesses could be asked, it is
+	// called with none, and again once the source can be asked. It may be nil.
+	OnRetirements func([]directory.Retirement)
 }
 
 // Client pulls a daemon's configuration and directory from the best available
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -112,8 +112,23 @@
 type LatestArgs struct{ Host string }
 
 // LatestReply holds a revision that a quorum of the source has confirmed: it
-// includes every change that was accepted before the call.
-type LatestReply struct{ Revision config.Revision }
+// includes every change that was accepted before the call. Retired holds the newest
+// retirements of the caller's upstreams, all of those before the call included; a
+// source of an older build knows none.
+type LatestReply struct {
+	Revision config.Revision
+	Retired  []directory.Retirement
+}
+
+// RetireArgs asks a source replica to record the retirement of an upstream beside the
+// daemon on Host.
+type RetireArgs struct {
+	Host       string
+	Retirement directory.Retirement
+}
+
+// RetireReply is empty. A call without error means that the retirement is recorded.
+type RetireReply struct{}
 
 // CompareArgs starts the comparison of two processes' directories. Buckets holds
 // the caller's bucket digests, directory.BucketCount in number.
@@ -144,4 +159,5 @@
 	ErrNotSource   = errs.New("feed: only a source replica can tell the newest revision")
 	ErrUnconfirmed = errs.New("feed: the source could not confirm its newest revision")
 	ErrBadMessage  = errs.New("feed: malformed message")
+	ErrNotRecorded = errs.New("feed: the source has not recorded the retirement")
 )
--- a/internal/feed/minrevision.go
+++ b/internal/feed/minrevision.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -36,12 +37,16 @@
 // called.
 func (c *Client) RunMinRevision() {
 	for attempt := 0; ; attempt++ {
-		r, ok := c.askSources()
-		if !ok {
-			r, ok = c.minRevision.Ask()
-		}
+		latest, ok := c.askSources()
 		if ok {
+			c.setRetirements(latest.Retired)
+			c.applyMinRevision(latest.Revision)
+			return
+		}
+		if r, ok := c.minRevision.Ask(); ok {
+			c.setRetirements(nil)
 			c.applyMinRevision(r)
+			c.awaitRetirements()
 			return
 		}
 		if !c.sleep(min(backoff(attempt, c.config.Random()), maxMinRevisionDelay)) {
@@ -50,16 +55,34 @@
 	}
 }
 
-// askSources returns the newest accepted revision from the first source replica
-// that can confirm it.
-func (c *Client) askSources() (config.Revision, bool) {
+// awaitRetirements asks the source for the retirements of this daemon's upstreams until
+// it can confirm them or Stop is called.
+func (c *Client) awaitRetirements() {
+	for attempt := 0; c.sleep(backoff(attempt, c.config.Random())); attempt++ {
+		if latest, ok := c.askSources(); ok {
+			c.setRetirements(latest.Retired)
+			return
+		}
+	}
+}
+
+// setRetirements passes on the retirements of this daemon's upstreams.
+func (c *Client) setRetirements(retired []directory.Retirement) {
+	if c.config.OnRetirements != nil {
+		c.config.OnRetirements(retired)
+	}
+}
+
+// askSources returns the newest accepted revision, and the retirements of this daemon's
+// upstreams, from the first source replica that can confirm them.
+func (c *Client) askSources() (LatestReply, bool) {
 	for _, address := range c.sources() {
 		var reply LatestReply
 		if c.Call(address, "Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout) == nil {
-			return reply.Revision, true
+			return reply, true
 		}
 	}
-	return 0, false
+	return LatestReply{}, false
 }
 
 // applyMinRevision has the witnesses record r, or the revision in force if that is
--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -27,14 +27,20 @@
 type Service struct {
 	hub    *Hub
 	clock  func() time.Time
-	latest func() (config.Revision, error) // Nil on daemons.
+	source *Source // Nil on daemons.
 }
 
-// NewService returns the service of a hub. latest returns the newest accepted
-// revision, confirmed by a quorum of the source; it is nil on daemons. clock and
-// latest must be safe for concurrent use.
-func NewService(h *Hub, clock func() time.Time, latest func() (config.Revision, error)) *Service {
-	return &Service{hub: h, clock: clock, latest: latest}
+// Source answers, on a source replica, the calls that need a quorum of the source. Its
+// functions must be safe for concurrent use.
+type Source struct {
+	Latest func(LatestArgs) (LatestReply, error)
+	Retire func(RetireArgs) error
+}
+
+// NewService returns the service of a hub. source is nil on daemons. clock must be safe
+// for concurrent use.
+func NewService(h *Hub, clock func() time.Time, source *Source) *Service {
+	return &Service{hub: h, clock: clock, source: source}
 }
 
 // Pull waits for something newer than the child has, at most for args.Wait. If the
@@ -188,17 +194,26 @@
 	h.MergeCallStats(args.Host, args.Reports...)
 }
 
-// Latest returns the newest accepted revision, confirmed by a quorum of the
-// source. It returns ErrNotSource on daemons.
-func (s *Service) Latest(_ LatestArgs, reply *LatestReply) error {
-	if s.latest == nil {
+// Latest returns the newest accepted revision, confirmed by a quorum of the source,
+// and the retirements of the caller's upstreams. It returns ErrNotSource on daemons.
+func (s *Service) Latest(args LatestArgs, reply *LatestReply) error {
+	if s.source == nil {
 		return ErrNotSource
 	}
-	r, err := s.latest()
-	reply.Revision = r
+	latest, err := s.source.Latest(args)
+	*reply = latest
 	return err
 }
 
+// Retire records the retirement of one of the caller's upstreams. No error means that
+// a quorum of the source has it on disk. It returns ErrNotSource on daemons.
+func (s *Service) Retire(args RetireArgs, _ *RetireReply) error {
+	if s.source == nil {
+		return ErrNotSource
+	}
+	return s.source.Retire(args)
+}
+
 // Compare returns the buckets in which the two directories differ, and this
 // process's records in them. It returns ErrBadMessage for an invalid host name or
 // a wrong number of buckets.
--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -21,6 +21,8 @@
 		put = c.Replace.Put
 	case c.Step != nil:
 		return c.Step.check()
+	case c.Retire != nil:
+		return c.Retire.check()
 	}
 	for _, o := range put {
 		if err := o.Check(); err != nil {
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -19,7 +19,7 @@
 )
 
 // Command is one command of the replicated log. Exactly one of Change, Begin,
-// Step, Replace and Pin is set. Its fields, and those of the types it contains,
+// Step, Replace, Pin and Retire is set. Its fields, and those of the types it contains,
 // are stored under their Go names.
 type Command struct {
 	Request  string    // Identifies the request. A request that was decided before is not applied again.
@@ -30,6 +30,7 @@
 	Step     *MoveStep
 	Replace  *Replace    `cbor:",omitempty"`
 	Pin      *PinVersion `cbor:",omitempty"`
+	Retire   *Retire     `cbor:",omitempty"` // Older builds refuse it.
 	// Rules is the version of the checks that Apply makes. The leader sets it to
 	// CurrentRules; entries of older builds have 0 and are decided as then.
 	Rules uint8 `cbor:",omitempty"`
@@ -132,6 +133,10 @@
 	Resent   bool            `json:"resent,omitempty"` // The command was decided before, and this is the stored outcome.
 }
 
+// ReasonNothing is the reason with which a command is refused that asks for nothing. A
+// build refuses the commands of later ones with it, since it does not know their fields.
+const ReasonNothing = "the request asks for nothing"
+
 // Writer describes the last change of an object.
 type Writer struct {
 	Key      config.Key      `json:"key"`
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -17,6 +17,7 @@
 	Answers  map[string]storedOutcome // Stored outcomes by request.
 	Order    []string                 // Requests in the order in which they were decided.
 	Origin   []byte                   // See State.Origin.
+	Retired  []Retire                 `cbor:",omitempty"` // Oldest first; older builds ignore it.
 }
 
 // Snapshot returns the full state as canonical CBOR, for Restore.
@@ -24,6 +25,7 @@
 	data, err := codec.Marshal(savedState{
 		Whole: s.catalog.Delta(0, catalog.Digest{}), Revision: s.Revision(),
 		Writers: s.writers, Answers: s.outcomes, Order: s.requestOrder, Origin: s.origin,
+		Retired: s.retirements.all(),
 	})
 	if err != nil {
 		return nil, errs.New("ledger: encode snapshot: %v", err)
@@ -53,6 +55,9 @@
 	s.table = table
 	s.requestOrder = v.Order
 	s.origin = v.Origin
+	for _, r := range v.Retired {
+		s.retirements.add(r)
+	}
 	for k, w := range v.Writers {
 		s.writers[k] = w
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -29,6 +29,7 @@
 	outcomes     map[string]storedOutcome // Stored outcomes by request, at most maxStoredOutcomes.
 	requestOrder []string                 // The requests in outcomes, oldest first.
 	origin       []byte                   // See Origin.
+	retirements  retirements
 }
 
 // New returns the state before the first command: revision 0 without objects.
@@ -74,6 +75,9 @@
 // Apply decides a command, changes the state if it is accepted, and returns its
 // outcome. A resent command gets the stored outcome and changes nothing.
 func (s *State) Apply(c Command) Outcome {
+	if c.Retire != nil {
+		return s.applyRetire(c)
+	}
 	if out, ok := s.PreviousOutcome(c); ok {
 		return out
 	}
@@ -120,7 +124,7 @@
 	case c.Pin != nil:
 		return s.applyPin(c)
 	default:
-		return s.reject(c, "the request asks for nothing")
+		return s.reject(c, ReasonNothing)
 	}
 }
 
--- a/internal/localhttp/api.go
+++ b/internal/localhttp/api.go
@@ -19,7 +19,8 @@
 
 // Config describes the interface. All fields are required.
 type Config struct {
-	Inbound  *upstream.Proxy // Takes the announcements.
+	Inbound  *upstream.Proxy                    // Takes the announcements.
+	Retire   func(id string, start int64) error // See daemon.Daemon.Retire.
 	Clock    func() time.Time
 	Status   func(now time.Time) Status
 	Events   *event.Ring
@@ -33,7 +34,7 @@
 // daemon.Config.NewLocalHandler.
 func ForDaemon(d *daemon.Daemon) (http.Handler, error) {
 	return New(Config{
-		Inbound: d.Inbound(), Clock: d.Clock(), Status: d.Status, Events: d.Events(), Counters: d.CounterSet(),
+		Inbound: d.Inbound(), Retire: d.Retire, Clock: d.Clock(), Status: d.Status, Events: d.Events(), Counters: d.CounterSet(),
 	})
 }
 
@@ -78,19 +79,36 @@
 }
 
 func (a *api) drain(ctx iris.Context) {
-	a.writeResult(ctx, a.Inbound.Drain(a.Clock(), ctx.Params().Get("id")))
+	a.writeResult(ctx, a.retire(ctx.Params().Get("id")))
 }
 
 func (a *api) withdraw(ctx iris.Context) {
-	a.writeResult(ctx, a.Inbound.Remove(a.Clock(), ctx.Params().Get("id")))
+	id := ctx.Params().Get("id")
+	err := a.retire(id)
+	if err == nil || errors.Is(err, daemon.ErrNotRecorded) {
+		if removeErr := a.Inbound.Remove(a.Clock(), id); removeErr != nil {
+			err = removeErr
+		}
+	}
+	a.writeResult(ctx, err)
+}
+
+// retire stops new calls to a registered upstream and has the source record that.
+func (a *api) retire(id string) error {
+	if err := a.Inbound.Drain(a.Clock(), id); err != nil {
+		return err
+	}
+	return a.Retire(id, 0)
 }
 
 // writeResult writes the result of an operation on one upstream: 404 if it is
-// unknown, 500 for other errors, and an empty object otherwise.
+// unknown, 503 if the operation is in force but not recorded by the source, 500 for other errors, and an empty object otherwise.
 func (a *api) writeResult(ctx iris.Context, err error) {
 	switch {
 	case errors.Is(err, upstream.ErrUnknownUpstream):
 		httpapi.WriteError(ctx, http.StatusNotFound, err)
+	case errors.Is(err, daemon.ErrNotRecorded):
+		httpapi.WriteError(ctx, http.StatusServiceUnavailable, err)
 	case err != nil:
 		httpapi.WriteError(ctx, http.StatusInternalServerError, err)
 	default:
--- a/internal/localhttp/localhttp_test.go
+++ b/internal/localhttp/localhttp_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/endivewalk/endivewalk/internal/count"
+	"github.com/endivewalk/endivewalk/internal/daemon"
+	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/localhttp"
 	"github.com/endivewalk/endivewalk/internal/upstream"
@@ -22,6 +24,8 @@
 // testDaemon has those parts of a daemon that handle announcements.
 type testDaemon struct {
 	inbound  *upstream.Proxy
+	retired  []string // IDs, in the order of the calls of Retire.
+	err      error    // Of Retire.
 	counters *count.Set
 	handler  http.Handler
 }
@@ -33,6 +37,10 @@
 	d.inbound = upstream.New(upstream.Config{Clock: clock, Counters: d.counters, Events: events})
 	handler, err := localhttp.New(localhttp.Config{
 		Inbound: d.inbound, Clock: clock, Events: events, Counters: d.counters,
+		Retire: func(id string, _ int64) error {
+			d.retired = append(d.retired, id)
+			return d.err
+		},
 		Status: func(time.Time) localhttp.Status { return localhttp.Status{Host: "d"} },
 	})
 	require.NoError(t, err)
@@ -96,6 +104,29 @@
 	require.Equal(t, http.StatusNotFound, d.send("DELETE", "/v1/upstreams/w9", "").Code)
 }
 
+// A drain or a withdrawal is acknowledged only once the source has recorded it. It is in
+// force before.
+func TestUnrecordedRetirementIsNotAcknowledged(t *testing.T) {
+	for _, remove := range []bool{false, true} {
+		d := newTestDaemon(t)
+		require.Equal(t, http.StatusOK, d.send("POST", "/v1/upstreams", validAnnouncement).Code)
+		send := func() int { return d.send("POST", "/v1/upstreams/w1/drain", "").Code }
+		if remove {
+			send = func() int { return d.send("DELETE", "/v1/upstreams/w1", "").Code }
+		}
+		d.err = daemon.ErrNotRecorded
+		require.Equal(t, http.StatusServiceUnavailable, send())
+		for _, u := range d.inbound.Upstreams() {
+			require.Equal(t, directory.StateDraining, u.State)
+		}
+		require.Equal(t, []string{"w1"}, d.retired)
+		d.err = nil
+		require.Equal(t, http.StatusOK, d.send("POST", "/v1/upstreams", validAnnouncement).Code)
+		require.Equal(t, http.StatusOK, send())
+		require.Equal(t, []string{"w1", "w1"}, d.retired)
+	}
+}
+
 // FuzzAnnouncement checks that any body is either accepted as one valid
 // upstream, or rejected with one of three 4xx statuses and counted.
 func FuzzAnnouncement(f *testing.F) {
--- a/internal/source/confirm.go
+++ b/internal/source/confirm.go
@@ -2,8 +2,6 @@
 
 import (
 	"sync"
-
-	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 // confirmations lets concurrent callers share a quorum-confirmed read.
@@ -21,7 +19,7 @@
 }
 
 // do returns the result of a call of read that began after the call of do.
-func (c *confirmations) do(read func() (config.Revision, error)) (config.Revision, error) {
+func (c *confirmations) do(read func() (confirmedRead, error)) (confirmedRead, error) {
 	result := make(chan readResult, 1)
 	c.mutex.Lock()
 	c.waiting = append(c.waiting, result)
@@ -32,11 +30,11 @@
 		go c.run(read)
 	}
 	r := <-result
-	return r.revision, r.err
+	return r.confirmedRead, r.err
 }
 
 // run reads until nobody waits.
-func (c *confirmations) run(read func() (config.Revision, error)) {
+func (c *confirmations) run(read func() (confirmedRead, error)) {
 	for {
 		c.mutex.Lock()
 		waiting := c.waiting
@@ -47,9 +45,9 @@
 			return
 		}
 		c.mutex.Unlock()
-		revision, err := read()
+		confirmed, err := read()
 		for _, w := range waiting {
-			w <- readResult{revision: revision, err: err}
+			w <- readResult{confirmedRead: confirmed, err: err}
 		}
 	}
 }
--- a/internal/source/confirm_test.go
+++ b/internal/source/confirm_test.go
@@ -18,13 +18,13 @@
 	var c confirmations
 	var accepted, reads atomic.Uint64
 	started, release := make(chan struct{}), make(chan struct{})
-	read := func() (config.Revision, error) {
+	read := func() (confirmedRead, error) {
 		revision := accepted.Load()
 		if reads.Add(1) == 1 {
 			close(started)
 			<-release
 		}
-		return config.Revision(revision), nil
+		return confirmedRead{revision: config.Revision(revision)}, nil
 	}
 	var group sync.WaitGroup
 	group.Go(func() { c.do(read) })
@@ -35,9 +35,9 @@
 	for range daemons {
 		group.Go(func() {
 			asking <- struct{}{}
-			revision, err := c.do(read)
+			confirmed, err := c.do(read)
 			require.NoError(t, err)
-			require.EqualValues(t, 7, revision)
+			require.EqualValues(t, 7, confirmed.revision)
 		})
 	}
 	for range daemons {
--- a/internal/source/consensus.go
+++ b/internal/source/consensus.go
@@ -35,8 +35,15 @@
 }
 
 type readResult struct {
+	confirmedRead
+	err error
+}
+
+// confirmedRead is a point in the log that includes everything that was committed
+// before the read began.
+type confirmedRead struct {
 	revision config.Revision
-	err      error
+	applied  quorum.Index // 0 if a leader of an older build confirmed the read.
 }
 
 // pendingProposal is a proposal that is in the log but not yet applied.
@@ -345,6 +352,10 @@
 // recordOutcome counts the outcome of a command proposed on this replica and
 // adds an event, unless the command was resent.
 func (c *consensus) recordOutcome(command ledger.Command, outcome ledger.Outcome) {
+	if command.Retire != nil {
+		c.node.config.Counters.Add("upstreams_retired", 1)
+		return // The daemon has added the event.
+	}
 	c.node.config.Counters.Add("changes_"+string(outcome.Status), 1)
 	if outcome.Resent {
 		c.node.config.Counters.Add("changes_resent", 1)
@@ -372,7 +383,7 @@
 			done <- readResult{err: ErrNoLeader}
 			continue
 		}
-		done <- readResult{revision: c.state.Revision()}
+		done <- readResult{confirmedRead: confirmedRead{revision: c.state.Revision(), applied: c.core.Applied()}}
 	}
 }
 
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -79,7 +79,7 @@
 	services := map[string]any{
 		"Quorum": &quorumService{node: n},
 		"Source": &sourceService{node: n},
-		"Feed":   feed.NewService(n.hub, n.config.Clock, n.Latest),
+		"Feed":   feed.NewService(n.hub, n.config.Clock, &feed.Source{Latest: n.latestFor, Retire: n.retire}),
 	}
 	for name, s := range services {
 		if err := server.Register(name, s); err != nil {
@@ -320,42 +320,45 @@
 // Latest returns the newest accepted revision, which a quorum confirms after the
 // call began. Concurrent calls share a confirmation. Any error means that it could not
 // be confirmed.
-func (n *Node) Latest() (config.Revision, error) { return n.confirmations.do(n.confirmLatest) }
+func (n *Node) Latest() (config.Revision, error) {
+	confirmed, err := n.confirmations.do(n.confirmLatest)
+	return confirmed.revision, err
+}
 
 // confirmLatest returns the newest accepted revision, confirmed by a quorum for this
 // call alone.
-func (n *Node) confirmLatest() (config.Revision, error) {
+func (n *Node) confirmLatest() (confirmedRead, error) {
 	leader, changed := n.currentLeader()
 	if leader == n.config.Name {
 		return n.latestLocally()
 	}
 	client := n.links.client(leader)
 	if client == nil {
-		return 0, feed.ErrUnconfirmed
+		return confirmedRead{}, feed.ErrUnconfirmed
 	}
-	var reply feed.LatestReply
+	var reply LatestReply
 	err := n.callLeader(client, changed, "Source.Latest", feed.LatestArgs{Host: n.config.Name}, &reply)
 	if err != nil {
-		return 0, feed.ErrUnconfirmed
+		return confirmedRead{}, feed.ErrUnconfirmed
 	}
-	return reply.Revision, nil
+	return confirmedRead{revision: reply.Revision, applied: reply.Applied}, nil
 }
 
 // latestLocally is Latest on this replica, which must lead.
-func (n *Node) latestLocally() (config.Revision, error) {
+func (n *Node) latestLocally() (confirmedRead, error) {
 	done := make(chan readResult, 1)
 	if !n.consensus.inputs.Offer(input{read: done}) {
-		return 0, ErrBusy
+		return confirmedRead{}, ErrBusy
 	}
 	t := time.NewTimer(leaderRequestTimeout)
 	defer t.Stop()
 	select {
 	case r := <-done:
-		return r.revision, r.err
+		return r.confirmedRead, r.err
 	case <-t.C:
 	case <-n.stop:
 	}
-	return 0, feed.ErrUnconfirmed
+	return confirmedRead{}, feed.ErrUnconfirmed
 }
 
 // inspect calls f in the consensus goroutine, so that f reads a consistent state,
--- /dev/null
+++ b/internal/source/retire.go
@@ -0,0 +1,67 @@
+package source
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/ledger"
+)
+
+// retireTimeout limits how long a replica tries to record a retirement. The upstream
+// that waits for it asks again after a second.
+const retireTimeout = 800 * time.Millisecond
+
+// retire records the retirement of an upstream in the log. A nil error means that it
+// is committed.
+func (n *Node) retire(args feed.RetireArgs) error {
+	out, err := n.Propose(ledger.Command{
+		Request:  fmt.Sprintf("retire-%s-%s-%d", args.Host, args.Retirement.ID, args.Retirement.Start),
+		Operator: controllerOperator,
+		Retire:   &ledger.Retire{Host: args.Host, Retirement: args.Retirement},
+	}, n.config.Clock().Add(retireTimeout))
+	switch {
+	case err != nil:
+		return err
+	case out.Status == ledger.StatusAccepted:
+		return nil
+	case out.Reason == ledger.ReasonNothing:
+		n.config.Counters.Add("retirements_unsupported", 1)
+		return nil // The leader is of an older build, which knows no retirements.
+	default:
+		return errors.New(out.Reason)
+	}
+}
+
+// latestFor returns the newest accepted revision and the retirements of the upstreams
+// beside the daemon on args.Host, all of those that were committed before the call.
+func (n *Node) latestFor(args feed.LatestArgs) (feed.LatestReply, error) {
+	confirmed, err := n.confirmations.do(n.confirmLatest)
+	if err != nil {
+		return feed.LatestReply{}, err
+	}
+	reply := feed.LatestReply{Revision: confirmed.revision}
+	for start := n.config.Clock(); ; {
+		reached := false
+		inspected := n.inspect(func(c *consensus) {
+			if reached = c.core.Applied() >= confirmed.applied; reached {
+				reply.Retired = c.state.Retirements(args.Host)
+			}
+		})
+		if inspected && reached {
+			return reply, nil
+		}
+		if n.config.Clock().Sub(start) > configCatchUpTimeout || !n.pause(configPollInterval) {
+			return feed.LatestReply{}, feed.ErrUnconfirmed
+		}
+	}
+}
+
+// Retirements returns the newest retirements of the upstreams beside the daemon on
+// host, all of those that were committed before the call.
+func (n *Node) Retirements(host string) ([]directory.Retirement, error) {
+	reply, err := n.latestFor(feed.LatestArgs{Host: host})
+	return reply.Retired, err
+}
--- a/internal/source/service.go
+++ b/internal/source/service.go
@@ -8,6 +8,7 @@
 	"github.com/endivewalk/endivewalk/internal/ledger"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/quorum"
+	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 // StepArgs carries consensus messages from one sender.
@@ -111,12 +112,19 @@
 
 // Latest returns the newest accepted revision, confirmed by a quorum. It fails if
 // this replica does not lead.
-func (s *sourceService) Latest(_ feed.LatestArgs, reply *feed.LatestReply) error {
-	r, err := s.node.latestLocally()
-	reply.Revision = r
+func (s *sourceService) Latest(_ feed.LatestArgs, reply *LatestReply) error {
+	confirmed, err := s.node.latestLocally()
+	reply.Revision, reply.Applied = confirmed.revision, confirmed.applied
 	return err
 }
 
+// LatestReply returns the newest accepted revision and the index of the log up to
+// which the leader had applied it when a quorum confirmed the read.
+type LatestReply struct {
+	Revision config.Revision
+	Applied  quorum.Index
+}
+
 // Exchange merges the changes that another replica received from its daemons.
 func (s *sourceService) Exchange(args feed.ReportArgs, reply *ExchangeReply) error {
 	if s.node.links.get(args.Host) == nil {
--- a/internal/upstream/incarnation.go
+++ b/internal/upstream/incarnation.go
@@ -36,8 +36,9 @@
 	incarnation Incarnation // Of its last announcement.
 	// lapsed means that the upstream may announce itself again without a new start: only
 	// its lease has expired, as when it was paused.
-	lapsed  bool
-	endedAt time.Time
+	lapsed   bool
+	recorded bool // The source has recorded the upstream's retirement.
+	endedAt  time.Time
 }
 
 // precedes reports whether an announcement with incarnation i comes from after the
@@ -79,15 +80,18 @@
 }
 
 // Heartbeat handles an announcement that may arrive late or out of order. A
-// draining upstream gets no new calls until it restarts. The error is ErrStale or
+// draining upstream gets no new calls until it restarts. Before SetRetirements, the
+// announcement of an upstream that is not known yet is only held. The error is ErrStale or
 // ErrStopping, or matches ErrInvalid.
 func (p *Proxy) Heartbeat(now time.Time, a Announcement, incarnation Incarnation, draining bool) error {
 	if err := errs.Combine(a.Check(), incarnation.check(now)); err != nil {
 		p.config.Counters.Add("announcements_refused", 1)
 		return err
 	}
-	if p.isStopping() {
+	if stopping, held := p.holdUnknown(heldAnnouncement{announcement: a, incarnation: incarnation, draining: draining, arrived: now}); stopping {
 		return ErrStopping
+	} else if held {
+		return nil
 	}
 	if !p.admitHeartbeat(now, a, incarnation) {
 		p.config.Counters.Add("announcements_stale", 1)
@@ -110,10 +114,15 @@
 	return nil
 }
 
-func (p *Proxy) isStopping() bool {
+// holdUnknown reports whether the proxy is stopping, and otherwise whether it holds
+// the announcement until SetRetirements.
+func (p *Proxy) holdUnknown(h heldAnnouncement) (stopping, held bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.stopping
+	if p.stopping {
+		return true, false
+	}
+	return false, p.hold(h)
 }
 
 // admitHeartbeat reports whether an announcement is newer than the last one of the
@@ -145,7 +154,7 @@
 func (p *Proxy) endUpstream(now time.Time, id string, r *registration, lapsed bool) {
 	delete(p.upstreams, id)
 	p.closeRegistration(r)
-	p.ended[id] = endedUpstream{incarnation: r.incarnation, lapsed: lapsed, endedAt: now}
+	p.ended[id] = endedUpstream{incarnation: r.incarnation, lapsed: lapsed, recorded: r.recorded, endedAt: now}
 }
 
 // mayReturn reports whether an upstream whose lease expires, or that is removed, may
--- a/internal/upstream/proxy.go
+++ b/internal/upstream/proxy.go
@@ -91,6 +91,7 @@
 	// resumed means that the upstream is known from the daemon's previous
 	// incarnation only: it has not announced itself to this one yet.
 	resumed     bool
+	recorded    bool // The source has recorded the upstream's retirement.
 	incarnation Incarnation
 	scheduler   *scheduler
 	sender      Sender
@@ -115,6 +116,10 @@
 	// Otherwise the limit is lowered while calls take long, which suits upstreams
 	// whose calls take similar times.
 	FixedLimit bool
+	// AwaitRetirements holds announcements until SetRetirements or ReleaseAnnouncements
+	// is called: until then it is not known whether they are late ones of upstreams that
+	// have left. Announcements without a Start are not held.
+	AwaitRetirements bool
 }
 
 // Proxy is the inbound proxy of a daemon: it keeps the registry of the local
@@ -124,7 +129,8 @@
 	config    Config
 	mutex     sync.Mutex
 	upstreams map[string]*registration
-	ended     map[string]endedUpstream // By upstream ID.
+	ended     map[string]endedUpstream    // By upstream ID.
+	held      map[string]heldAnnouncement // By upstream ID; nil once retirements are known.
 	stopping  bool
 }
 
@@ -136,7 +142,11 @@
 	if c.NewSender == nil {
 		c.NewSender = newHTTPSender
 	}
-	return &Proxy{config: c, upstreams: map[string]*registration{}, ended: map[string]endedUpstream{}}
+	p := &Proxy{config: c, upstreams: map[string]*registration{}, ended: map[string]endedUpstream{}}
+	if c.AwaitRetirements {
+		p.held = map[string]heldAnnouncement{}
+	}
+	return p
 }
 
 // Announce adds an upstream or renews its lease. An announcement that differs from
@@ -150,6 +160,10 @@
 	}
 	incarnation := Incarnation{Start: a.Start}
 	p.mutex.Lock()
+	if !p.stopping && p.hold(heldAnnouncement{announcement: a, incarnation: incarnation, arrived: now}) {
+		p.mutex.Unlock()
+		return nil
+	}
 	e, ended := p.ended[a.ID]
 	stale := ended && !e.precedes(incarnation)
 	r := p.upstreams[a.ID]
