HTTP client: a response that does not tell its request is not taken for the answer

What callers saw: 503, "not executed", for requests that the upstream was executing, and requests that may not be repeated ran at a second upstream, after a faulty upstream had written an earlier refusal without an ID once more on a kept connection. Reported by operators of a similar system.

Cause: a response without the ID of an attempt matched any request.

Change: such a response is accepted only on a connection that has carried no other request, and the connection is closed after it. On a kept connection the outcome is unknown. Requests without an ID get a connection of their own.

Why it works: no earlier response can be pending on a new connection, and none that lacks an ID is followed by another request.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -28,9 +28,9 @@
 type ClientConfig struct {
 	// Address is the server's host and port.
 	Address string
-	// Matches reports whether a response belongs to a request. Other responses are
-	// read and dropped. Nil means that all responses match.
-	Matches        func(request, response http.Header) bool
+	// Identify tells which request a response belongs to. Nil means that all responses
+	// belong to the last request.
+	Identify       func(request, response http.Header) Identity
 	ConnectTimeout time.Duration // Bounds connection setup; 0 means 1 s.
 	// IdleTimeout is how long an idle connection is kept if the server sends no
 	// Keep-Alive timeout; 0 means 4 s.
@@ -40,6 +40,22 @@
 	OnOpen func()
 }
 
+// Identity tells which request a response belongs to.
+type Identity uint8
+
+// The identities of responses.
+const (
+	// IdentityOwn is that of a response to the last request on the connection.
+	IdentityOwn Identity = iota
+	// IdentityOther is that of a response to another request. It is read and dropped.
+	IdentityOther
+	// IdentityUnknown is that of a response that does not say which request it belongs
+	// to: after an earlier request on the same connection it may be a late second
+	// response to that. It is accepted only on a connection that has carried no other
+	// request, and the connection is not used again.
+	IdentityUnknown
+)
+
 const (
 	defaultConnectTimeout = time.Second
 	defaultIdleTimeout    = 4 * time.Second
@@ -85,6 +101,9 @@
 	// read it after Do has returned.
 	Body   io.Reader
 	Length int64 // Of the body, in bytes; -1 if unknown. Ignored if Body is nil.
+	// Unidentified means that no response can tell that it belongs to this request. The
+	// request gets a connection of its own.
+	Unidentified bool
 }
 
 // clientConn is a connection to the server.
@@ -93,6 +112,7 @@
 	limited    *limitedConn
 	reader     *bufio.Reader
 	reuseUntil time.Time // An idle connection is not reused from then on.
+	reused     bool      // An earlier request was sent on it.
 }
 
 // NewClient returns a client without connections.
@@ -103,8 +123,8 @@
 	if c.IdleTimeout == 0 {
 		c.IdleTimeout = defaultIdleTimeout
 	}
-	if c.Matches == nil {
-		c.Matches = func(http.Header, http.Header) bool { return true }
+	if c.Identify == nil {
+		c.Identify = func(http.Header, http.Header) Identity { return IdentityOwn }
 	}
 	return &Client{config: c}
 }
@@ -135,6 +155,7 @@
 		c.idle = c.idle[:n-1]
 		c.mutex.Unlock()
 		if now.Before(conn.reuseUntil) && conn.isReusable() {
+			conn.reused = true
 			return conn
 		}
 		conn.Close()
@@ -196,7 +217,10 @@
 // ErrBroken. When ctx ends, the connection is closed, also while the body is being
 // read.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
-	conn := c.takeIdle(time.Now())
+	var conn *clientConn
+	if !r.Unidentified {
+		conn = c.takeIdle(time.Now())
+	}
 	if conn == nil {
 		var err error
 		if conn, err = c.dial(ctx); err != nil {
@@ -210,7 +234,7 @@
 		return nil, errs.Combine(ErrUnreachable, ctx.Err())
 	}
 	writeResult := conn.startWrite(r)
-	response, err := c.readResponse(conn, r)
+	response, identity, err := c.readResponse(conn, r)
 	if err != nil {
 		stopCancel()
 		conn.Close()
@@ -218,7 +242,7 @@
 	}
 	response.Body = &responseBody{
 		ReadCloser: response.Body, client: c, conn: conn, writeResult: writeResult, stopCancel: stopCancel,
-		reusable: !response.Close, idleTimeout: c.idleTimeout(response.Header),
+		reusable: !response.Close && identity == IdentityOwn && !r.Unidentified, idleTimeout: c.idleTimeout(response.Header),
 	}
 	return response, nil
 }
@@ -294,29 +318,37 @@
 	}
 }
 
+// errUnidentified means that the response may belong to an earlier request on the
+// connection.
+var errUnidentified = errs.New("http1: a response on a kept connection does not tell its request")
+
 // readResponse reads the header of the response to r. Responses to other requests
-// are dropped. It returns an error if a header or a dropped body is too long: a
-// faulty server may send bytes without end.
-func (c *Client) readResponse(conn *clientConn, r Request) (*http.Response, error) {
+// are dropped. It returns an error if the response may be one of them, and if a header
+// or a dropped body is too long: a faulty server may send bytes without end.
+func (c *Client) readResponse(conn *clientConn, r Request) (*http.Response, Identity, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxMismatched {
 		conn.limited.remaining = maxResponseHeadBytes
 		response, err := http.ReadResponse(conn.reader, request)
 		conn.limited.remaining = unlimited
 		if err != nil {
-			return nil, err
+			return nil, IdentityUnknown, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if c.config.Matches(r.Header, response.Header) {
-			return response, nil
+		identity := c.config.Identify(r.Header, response.Header)
+		if identity == IdentityUnknown && conn.reused {
+			return nil, identity, errUnidentified
+		}
+		if identity != IdentityOther {
+			return response, identity, nil
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes); err != io.EOF || response.Close {
-			return nil, errs.New("http1: the connection is unusable after a response to another request")
+			return nil, identity, errs.New("http1: the connection is unusable after a response to another request")
 		}
 	}
-	return nil, errs.New("http1: too many responses to other requests")
+	return nil, IdentityOther, errs.New("http1: too many responses to other requests")
 }
 
 // idleTimeout returns how long the connection may stay idle after a response with
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -45,8 +45,17 @@
 	return http1.Request{Method: http.MethodGet, Target: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}}
 }
 
-// matchesID is a Matches function that compares Id headers.
-func matchesID(request, response http.Header) bool { return response.Get("Id") == request.Get("Id") }
+// identifyByID is an Identify function that compares Id headers.
+func identifyByID(request, response http.Header) http1.Identity {
+	switch response.Get("Id") {
+	case "":
+		return http1.IdentityUnknown
+	case request.Get("Id"):
+		return http1.IdentityOwn
+	default:
+		return http1.IdentityOther
+	}
+}
 
 // doAndRead sends a request and returns the whole body of its response.
 func doAndRead(t *testing.T, c *http1.Client, r http1.Request) string {
@@ -75,7 +84,7 @@
 // Consecutive requests use one connection, whether or not they have a body.
 func TestClientReusesConnection(t *testing.T) {
 	address, conns := serveScript(t, echoIDs)
-	c := http1.NewClient(http1.ClientConfig{Address: address, Matches: matchesID})
+	c := http1.NewClient(http1.ClientConfig{Address: address, Identify: identifyByID})
 	defer c.Close()
 	for _, id := range []string{"a", "bb", "ccc"} {
 		require.Equal(t, id, doAndRead(t, c, newGet(id)))
@@ -101,7 +110,7 @@
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 1\r\n\r\n"+id)
 		}
 	})
-	c := http1.NewClient(http1.ClientConfig{Address: address, Matches: matchesID})
+	c := http1.NewClient(http1.ClientConfig{Address: address, Identify: identifyByID})
 	defer c.Close()
 	require.Equal(t, "a", doAndRead(t, c, newGet("a")))
 	require.Equal(t, "b", doAndRead(t, c, newGet("b")))
@@ -122,7 +131,7 @@
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 1\r\n\r\n"+id)
 		io.Copy(io.Discard, r)
 	})
-	c := http1.NewClient(http1.ClientConfig{Address: address, Matches: matchesID})
+	c := http1.NewClient(http1.ClientConfig{Address: address, Identify: identifyByID})
 	defer c.Close()
 	require.Equal(t, "a", doAndRead(t, c, newGet("a")))
 	time.Sleep(60 * time.Millisecond)
@@ -147,7 +156,7 @@
 		},
 	} {
 		address, _ := serveScript(t, script)
-		c := http1.NewClient(http1.ClientConfig{Address: address, Matches: matchesID})
+		c := http1.NewClient(http1.ClientConfig{Address: address, Identify: identifyByID})
 		response, err := c.Do(context.Background(), newGet("a"))
 		require.NoError(t, err, name)
 		_, err = io.ReadAll(response.Body)
@@ -193,7 +202,7 @@
 		time.Sleep(100 * time.Millisecond)
 		io.Copy(io.Discard, r)
 	})
-	c := http1.NewClient(http1.ClientConfig{Address: address, Matches: matchesID})
+	c := http1.NewClient(http1.ClientConfig{Address: address, Identify: identifyByID})
 	defer c.Close()
 	body := strings.NewReader(strings.Repeat("x", 32<<20))
 	r := http1.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"a"}}, Body: body, Length: body.Size()}
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -79,7 +79,7 @@
 func TestEndlessResponseIsGivenUp(t *testing.T) {
 	for name, e := range endlessResponses {
 		t.Run(name, func(t *testing.T) {
-			c := http1.NewClient(http1.ClientConfig{Address: serveEndless(t, e.start, e.rest), Matches: matchesID})
+			c := http1.NewClient(http1.ClientConfig{Address: serveEndless(t, e.start, e.rest), Identify: identifyByID})
 			defer c.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			defer cancel()
@@ -103,7 +103,7 @@
 		"trailer":       {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := http1.NewClient(http1.ClientConfig{Address: serveEndless(t, e.start, e.rest), Matches: matchesID})
+			c := http1.NewClient(http1.ClientConfig{Address: serveEndless(t, e.start, e.rest), Identify: identifyByID})
 			defer c.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
@@ -132,7 +132,7 @@
 		time.Sleep(10 * time.Millisecond)
 		io.WriteString(conn, value+"\r\nContent-Length: 1\r\n\r\na")
 	})
-	c := http1.NewClient(http1.ClientConfig{Address: address, Matches: matchesID})
+	c := http1.NewClient(http1.ClientConfig{Address: address, Identify: identifyByID})
 	defer c.Close()
 	response, err := c.Do(context.Background(), newGet("a"))
 	require.NoError(t, err)
