Daemon: requests that come late in a shutdown are rejected, not cut off

What callers saw: in a planned stop, requests behind others on open connections, and requests whose bodies ended late, were passed on until 5.5 s after the signal and then cut without an answer.

Cause: after the time for callers to leave (2.5 s), connections with a pending request stayed open and their further requests were handled as ever.

Change: from 2.5 s on a request is rejected as not executed before it is sent to an upstream; where its body is read first, once it is complete.

Why it works: nothing is passed on that began after that time, so what is cut at the end has been at its upstream for 3 s.

--- a/internal/caller/dispatch.go
+++ b/internal/caller/dispatch.go
@@ -20,6 +20,10 @@
 	Timeout time.Duration // How long the caller waits for the response; 0 if unknown.
 	Caller  string        // The service beside whose daemon the caller runs.
 	Parent  *Parent       // Set if a local upstream makes the call while it executes another one.
+	// Refuse reports whether the daemon stops too soon to wait for a response. Such a call
+	// is rejected with reason draining, also if only its body arrives too late. Nil means
+	// that it does not stop.
+	Refuse func() bool
 }
 
 // Parent is a call that a local upstream is executing and that led to another
@@ -42,6 +46,12 @@
 		return nil, callErr
 	}
 	defer c.body.release()
+	if info.Refuse != nil && info.Refuse() {
+		p.config.Counters.Add("calls_refused_stopping", 1)
+		callErr = call.NotExecutedError(call.ReasonDraining)
+		p.logRejected(r, info, c, start, callErr)
+		return nil, callErr
+	}
 	response, err := p.serveCall(c)
 	if err != nil {
 		callErr = call.AsError(err)
