HTTP server: callers of HTTP/1.0 get bodies of unknown length

What callers saw: a caller of HTTP/1.0 got no bytes of a response of over 64 KB without a length.

Cause: such a body has neither a length nor chunks; Write took each byte for one beyond the length, 0.

Change: the body ends with the connection, and an aborted one with a reset, since it would look complete otherwise.

--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,6 +28,7 @@
 	// closeConn means that the connection closes after this response.
 	closeConn   bool
 	chunked     bool
+	untilClose  bool  // The body ends with the connection.
 	remaining   int64 // Bytes of the declared length still to be written.
 	hasTurn     bool  // The previous response is complete.
 	headWritten bool  // The status line and the header are written.
@@ -58,10 +60,12 @@
 	if w.chunked {
 		return len(p), w.writeChunk(p)
 	}
-	if int64(len(p)) > w.remaining {
-		return 0, http.ErrContentLength
+	if !w.untilClose {
+		if int64(len(p)) > w.remaining {
+			return 0, http.ErrContentLength
+		}
+		w.remaining -= int64(len(p))
 	}
-	w.remaining -= int64(len(p))
 	_, err := w.conn.writer.Write(p)
 	return len(p), err
 }
@@ -138,7 +142,7 @@
 		w.chunked = true
 		w.header["Transfer-Encoding"] = []string{"chunked"}
 	default:
-		w.closeConn = true
+		w.untilClose, w.closeConn = true, true
 	}
 	if w.closeConn {
 		w.header["Connection"] = []string{"close"}
@@ -185,9 +189,14 @@
 }
 
 // abortResponse closes the connection of a response that cannot be completed, so
-// that the response does not look complete.
+// that the response does not look complete. A body that ends with the connection would,
+// unless the connection is reset.
 func (w *response) abortResponse() {
 	defer close(w.done)
+	if tcp, ok := w.conn.conn.(*net.TCPConn); ok && w.untilClose {
+		// An error means that the connection has failed already.
+		_ = tcp.SetLinger(0)
+	}
 	w.conn.failAndClose()
 }
 
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -223,6 +223,31 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// A caller of HTTP/1.0 gets a body of unknown length up to the end of the connection. If
+// the handler aborts it, the connection is reset, since the body would look complete.
+func TestBodyOfUnknownLengthForOldProtocol(t *testing.T) {
+	body := strings.Repeat("x", 100_000)
+	_, address := serve(t, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, body)
+		http.NewResponseController(w).Flush()
+		if r.URL.Path == "/abort" {
+			panic(http.ErrAbortHandler)
+		}
+	})})
+	for path, complete := range map[string]bool{"/whole": true, "/abort": false} {
+		conn, reader := dial(t, address)
+		_, err := io.WriteString(conn, "GET "+path+" HTTP/1.0\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			var read []byte
+			read, err = io.ReadAll(response.Body)
+			require.Equal(t, complete, string(read) == body && err == nil, path)
+		}
+		require.Equal(t, complete, err == nil, path)
+	}
+}
+
 // Limits that are as large as their types allow must not reject requests.
 func TestHugeLimitsRejectNothing(t *testing.T) {
 	_, address := serve(t, http1.ServerConfig{
