Daemon: upstreams are listed while their calls wait for retirements

Change: an upstream that announces itself is listed at once. Calls to it wait at the inbound proxy until the retirements are known, for 0.3 s at most, and are then sent or rejected as not executed.

The model test of retirements passed 100,000 random histories. It found that a recorded retirement did not end an upstream whose lease had expired before it was known (mended here).

--- a/internal/daemon/retire.go
+++ b/internal/daemon/retire.go
@@ -53,7 +53,7 @@
 	if now.Sub(d.startedAt) <= maxAnnouncementDelay {
 		return
 	}
-	if dropped := d.inbound.ReleaseAnnouncements(); dropped > 0 {
-		d.config.Logger.Log("msg", "the source could not be asked which upstreams have left; held announcements are dropped", "announcements", dropped)
+	if dropped := d.inbound.ReleaseAnnouncements(now); dropped > 0 {
+		d.config.Logger.Log("msg", "the source could not be asked which upstreams have left; they must announce themselves again", "upstreams", dropped)
 	}
 }
--- a/internal/upstream/incarnation.go
+++ b/internal/upstream/incarnation.go
@@ -80,18 +80,16 @@
 }
 
 // Heartbeat handles an announcement that may arrive late or out of order. A
-// draining upstream gets no new calls until it restarts. Before SetRetirements, the
-// announcement of an upstream that is not known yet is only held. The error is ErrStale or
+// draining upstream gets no new calls until it restarts. Before SetRetirements,
+// calls to the upstream wait. The error is ErrStale or
 // ErrStopping, or matches ErrInvalid.
 func (p *Proxy) Heartbeat(now time.Time, a Announcement, incarnation Incarnation, draining bool) error {
 	if err := errs.Combine(a.Check(), incarnation.check(now)); err != nil {
 		p.config.Counters.Add("announcements_refused", 1)
 		return err
 	}
-	if stopping, held := p.holdUnknown(heldAnnouncement{announcement: a, incarnation: incarnation, draining: draining, arrived: now}); stopping {
+	if p.isStopping() {
 		return ErrStopping
-	} else if held {
-		return nil
 	}
 	if !p.admitHeartbeat(now, a, incarnation) {
 		p.config.Counters.Add("announcements_stale", 1)
@@ -114,15 +112,10 @@
 	return nil
 }
 
-// holdUnknown reports whether the proxy is stopping, and otherwise whether it holds
-// the announcement until SetRetirements.
-func (p *Proxy) holdUnknown(h heldAnnouncement) (stopping, held bool) {
+func (p *Proxy) isStopping() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.stopping {
-		return true, false
-	}
-	return false, p.hold(h)
+	return p.stopping
 }
 
 // admitHeartbeat reports whether an announcement is newer than the last one of the
@@ -169,6 +162,7 @@
 	p.mutex.Lock()
 	if r.resumed && r.announcement.sameUpstream(a) {
 		r.resumed, r.announcement, r.incarnation = false, a, incarnation
+		r.unconfirmed = p.awaitsRetirements
 	}
 	if r.incarnation.Start != incarnation.Start {
 		delete(p.upstreams, a.ID)
--- a/internal/upstream/proxy.go
+++ b/internal/upstream/proxy.go
@@ -92,6 +92,7 @@
 	// incarnation only: it has not announced itself to this one yet.
 	resumed     bool
 	recorded    bool // The source has recorded the upstream's retirement.
+	unconfirmed bool // It is not known yet whether the upstream has retired.
 	incarnation Incarnation
 	scheduler   *scheduler
 	sender      Sender
@@ -116,9 +117,10 @@
 	// Otherwise the limit is lowered while calls take long, which suits upstreams
 	// whose calls take similar times.
 	FixedLimit bool
-	// AwaitRetirements holds announcements until SetRetirements or ReleaseAnnouncements
-	// is called: until then it is not known whether they are late ones of upstreams that
-	// have left. Announcements without a Start are not held.
+	// AwaitRetirements lets calls to upstreams wait until SetRetirements or
+	// ReleaseAnnouncements is called: until then it is not known whether an announcement
+	// is a late one of an upstream that has left. Announcements without a Start are not
+	// affected.
 	AwaitRetirements bool
 }
 
@@ -129,9 +131,12 @@
 	config    Config
 	mutex     sync.Mutex
 	upstreams map[string]*registration
-	ended     map[string]endedUpstream    // By upstream ID.
-	held      map[string]heldAnnouncement // By upstream ID; nil once retirements are known.
+	ended     map[string]endedUpstream // By upstream ID.
 	stopping  bool
+	// awaitsRetirements is set until SetRetirements or ReleaseAnnouncements, which close
+	// retirementsKnown.
+	awaitsRetirements bool
+	retirementsKnown  chan struct{}
 }
 
 // New returns a proxy without upstreams.
@@ -142,11 +147,10 @@
 	if c.NewSender == nil {
 		c.NewSender = newHTTPSender
 	}
-	p := &Proxy{config: c, upstreams: map[string]*registration{}, ended: map[string]endedUpstream{}}
-	if c.AwaitRetirements {
-		p.held = map[string]heldAnnouncement{}
+	return &Proxy{
+		config: c, upstreams: map[string]*registration{}, ended: map[string]endedUpstream{},
+		awaitsRetirements: c.AwaitRetirements, retirementsKnown: make(chan struct{}),
 	}
-	return p
 }
 
 // Announce adds an upstream or renews its lease. An announcement that differs from
@@ -156,14 +160,12 @@
 // latter. The error is ErrStopping, ErrStale or matches ErrInvalid.
 func (p *Proxy) Announce(now time.Time, a Announcement) error {
 	if a.Start == 0 || a.Check() != nil {
-		return p.announce(now, now, a)
+		err := p.announce(now, now, a)
+		p.confirm(a.ID) // No retirement binds it.
+		return err
 	}
 	incarnation := Incarnation{Start: a.Start}
 	p.mutex.Lock()
-	if !p.stopping && p.hold(heldAnnouncement{announcement: a, incarnation: incarnation, arrived: now}) {
-		p.mutex.Unlock()
-		return nil
-	}
 	e, ended := p.ended[a.ID]
 	stale := ended && !e.precedes(incarnation)
 	r := p.upstreams[a.ID]
@@ -182,6 +184,15 @@
 	return p.announce(now, incarnation.startTime(now), a)
 }
 
+// confirm lets an upstream get calls before SetRetirements.
+func (p *Proxy) confirm(id string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if r := p.upstreams[id]; r != nil {
+		r.unconfirmed = false
+	}
+}
+
 // announce is Announce for an upstream that started at startTime. A registration
 // that is renewed unchanged keeps its start time.
 func (p *Proxy) announce(now, startTime time.Time, a Announcement) error {
@@ -201,7 +212,7 @@
 		if r != nil {
 			p.closeRegistration(r)
 		}
-		r = &registration{announcement: a, incarnation: Incarnation{Start: a.Start}, startTime: startTime, scheduler: newScheduler(a.Slots), sender: p.config.NewSender(a)}
+		r = &registration{announcement: a, incarnation: Incarnation{Start: a.Start}, unconfirmed: p.awaitsRetirements, startTime: startTime, scheduler: newScheduler(a.Slots), sender: p.config.NewSender(a)}
 		r.scheduler.queue.limiter.fixed = p.config.FixedLimit
 		p.upstreams[a.ID] = r
 	}
--- a/internal/upstream/resume.go
+++ b/internal/upstream/resume.go
@@ -35,7 +35,7 @@
 		}
 		p.mutex.Lock()
 		if r := p.upstreams[u.ID]; r != nil && r.incarnation == (Incarnation{}) {
-			r.resumed = true
+			r.resumed, r.unconfirmed = true, false
 		}
 		p.mutex.Unlock()
 		count++
--- a/internal/upstream/retire.go
+++ b/internal/upstream/retire.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -28,7 +29,6 @@
 		p.mutex.Unlock()
 		return directory.Retirement{}, false, ErrStopping
 	}
-	p.admitHeld(id)
 	r := p.upstreams[id]
 	if r == nil {
 		defer p.mutex.Unlock()
@@ -99,92 +99,105 @@
 	}
 }
 
-// heldAnnouncement is the newest announcement of an upstream that waits for
-// SetRetirements.
-type heldAnnouncement struct {
-	announcement Announcement
-	incarnation  Incarnation
-	draining     bool
-	arrived      time.Time
-}
-
-// hold keeps an announcement until SetRetirements, if the proxy waits for that and
-// does not know the upstream from its own announcements. It returns false otherwise.
-// The caller must hold p.mutex.
-func (p *Proxy) hold(h heldAnnouncement) bool {
-	if p.held == nil {
-		return false
-	}
-	id := h.announcement.ID
-	if r := p.upstreams[id]; r != nil && !r.resumed {
-		return false
-	}
-	if old, ok := p.held[id]; !ok || !h.incarnation.before(old.incarnation) {
-		p.held[id] = h
-	}
-	return true
-}
+// retirementsTimeout is how long a call waits at most until it is known whether its
+// upstream has retired.
+const retirementsTimeout = 300 * time.Millisecond
 
-// before reports whether i is from an earlier announcement than other.
-func (i Incarnation) before(other Incarnation) bool {
-	if i.Start != other.Start {
-		return i.Start < other.Start
-	}
-	return i.Sequence < other.Sequence
+// lookupConfirmed returns the registration of an upstream, or nil. If it is not known
+// yet whether the upstream has retired, lookupConfirmed waits, at most for
+// retirementsTimeout and until ctx ends, and returns ok=false if that was not enough.
+func (p *Proxy) lookupConfirmed(ctx context.Context, id string) (r *registration, ok bool) {
+	r, confirmed := p.lookupState(id)
+	if r == nil || confirmed {
+		return r, true
+	}
+	timer := time.NewTimer(retirementsTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.retirementsKnown:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	r, confirmed = p.lookupState(id)
+	return r, r == nil || confirmed
 }
 
-// admitHeld makes a held announcement count as the last one of an upstream that
-// retires. The caller must hold p.mutex.
-func (p *Proxy) admitHeld(id string) {
-	h, ok := p.held[id]
-	if !ok {
-		return
-	}
-	delete(p.held, id)
-	if _, known := p.ended[id]; !known {
-		p.ended[id] = endedUpstream{incarnation: h.incarnation, endedAt: h.arrived}
-	}
+// lookupState returns the registration of an upstream, or nil, and whether it may get
+// calls.
+func (p *Proxy) lookupState(id string) (r *registration, confirmed bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	r = p.upstreams[id]
+	return r, r != nil && !r.unconfirmed
 }
 
 // SetRetirements gives the proxy the retirements that the source has recorded for this
-// daemon, so that late announcements of these upstreams are stale. Registered upstreams
-// to which one applies are ended. Then the held announcements are handled, as of the
-// time at which they arrived.
+// daemon. Registered upstreams to which one applies are ended, and their late
+// announcements are stale. The others get calls from now on.
 func (p *Proxy) SetRetirements(now time.Time, retired []directory.Retirement) {
 	p.mutex.Lock()
-	held := p.held
-	p.held = nil
 	var left []Announcement
 	for _, d := range retired {
-		e := endedUpstream{incarnation: Incarnation{Start: d.Start, Sequence: d.Sequence}, lapsed: d.Start == 0, recorded: true, endedAt: now}
-		if known, ok := p.ended[d.ID]; !ok || known.incarnation.before(e.incarnation) {
-			p.ended[d.ID] = e
-		}
+		e := p.endRetired(now, d)
 		if r := p.upstreams[d.ID]; r != nil && !e.precedes(r.ownIncarnation()) {
 			delete(p.upstreams, d.ID)
 			p.closeRegistration(r)
 			left = append(left, r.announcement)
 		}
 	}
+	for _, r := range p.upstreams {
+		r.unconfirmed = false
+	}
+	p.stopAwaiting()
 	p.mutex.Unlock()
 	for _, a := range left {
 		p.recordChange(now, "left", a, "left before this daemon started")
 	}
-	for _, h := range held {
-		// The upstream has been answered; a stale announcement changes nothing.
-		_ = p.Heartbeat(h.arrived, h.announcement, h.incarnation, h.draining)
+}
+
+// endRetired remembers a recorded retirement, unless a later start of the upstream has
+// ended, and returns how the upstream ended. The caller must hold p.mutex.
+func (p *Proxy) endRetired(now time.Time, d directory.Retirement) endedUpstream {
+	e := endedUpstream{incarnation: Incarnation{Start: d.Start, Sequence: d.Sequence}, lapsed: d.Start == 0, recorded: true, endedAt: now}
+	if known, ok := p.ended[d.ID]; ok {
+		switch {
+		case known.incarnation.Start > d.Start:
+			return known
+		case known.incarnation.Start == d.Start:
+			e.incarnation.Sequence = max(e.incarnation.Sequence, known.incarnation.Sequence)
+		}
 	}
+	p.ended[d.ID] = e
+	return e
 }
 
-// ReleaseAnnouncements ends the wait for SetRetirements: announcements from now on are
-// accepted. The held ones may be late ones of upstreams that have left, and are
-// dropped. It returns how many these are.
-func (p *Proxy) ReleaseAnnouncements() int {
+// ReleaseAnnouncements ends the wait for SetRetirements: upstreams that announce
+// themselves from now on get calls. The announcements before may be late ones of
+// upstreams that have left, so these upstreams are ended until they announce themselves
+// again. It returns how many these are.
+func (p *Proxy) ReleaseAnnouncements(now time.Time) int {
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	dropped := len(p.held)
-	p.held = nil
-	return dropped
+	var ended []Announcement
+	for id, r := range p.upstreams {
+		if r.unconfirmed {
+			p.endUpstream(now, id, r, r.mayReturn())
+			ended = append(ended, r.announcement)
+		}
+	}
+	p.stopAwaiting()
+	p.mutex.Unlock()
+	for _, a := range ended {
+		p.recordChange(now, "expired", a, "may have left before this daemon started")
+	}
+	return len(ended)
+}
+
+// stopAwaiting wakes the calls that wait for retirements. The caller must hold p.mutex.
+func (p *Proxy) stopAwaiting() {
+	if p.awaitsRetirements {
+		p.awaitsRetirements = false
+		close(p.retirementsKnown)
+	}
 }
 
 // ownIncarnation returns the incarnation of a registered upstream. That of a resumed one
