Source: a replacement is planned against the state at its place in the log

Cause: a new leader planned what a replacement puts and removes against the state that it had applied, which after a restart lacks all of its log.

Change: a replacement based on a newer version than the applied one waits until the entries before it are applied. Entries carry the version they were planned against; whoever applies them refuses a plan against another one.

Why it works: only replacements change routes and which services exist, so a plan against version V holds wherever V is in force, and V is checked where it is applied.

On the wire: Replace.Planned in new entries; older builds ignore it, and entries without it are applied as before.

--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -100,7 +100,7 @@
 	}
 	if c.Replace != nil {
 		replace := *c.Replace
-		replace.Put, replace.Remove = nil, nil
+		replace.Put, replace.Remove, replace.Planned = nil, nil, 0
 		c.Replace = &replace
 	}
 	data, err := c.Encode()
--- a/internal/ledger/replace.go
+++ b/internal/ledger/replace.go
@@ -13,6 +13,9 @@
 	Base    uint64 // The version on which the replacement is based; 0 if there is none yet. Change.Replaces is a revision instead.
 	Version uint64 // Must be higher than the version in force.
 	Origin  []byte // The configuration text as the operator wrote it, returned by State.Origin.
+	// Planned is the version with which Plan compared the new configuration, plus 1; 0 in
+	// entries of older builds. Put and Remove are right only if it is Base.
+	Planned uint64 `cbor:",omitempty"`
 	Put     []config.Object
 	Remove  []config.Key
 }
@@ -56,8 +59,10 @@
 func (s *State) Origin() []byte { return s.origin }
 
 // Plan adds to r.Put and r.Remove what has to change so that the objects in
-// force become objects. It does not change the state.
+// force become objects. It does not change the state. The plan holds for each state
+// with the same Version: other commands change neither routes nor which services exist.
 func (s *State) Plan(r *Replace, objects []config.Object) {
+	r.Planned = s.Version() + 1
 	inNew := make(map[config.Key]bool, len(objects))
 	for _, o := range objects {
 		inNew[o.Key] = true
@@ -108,6 +113,9 @@
 	if r.Base != s.Version() {
 		return s.conflict(c, config.FleetKey)
 	}
+	if r.Planned != 0 && r.Planned != r.Base+1 {
+		return s.reject(c, "the change was planned against version %d, not %d", r.Planned-1, r.Base)
+	}
 	if r.Version <= s.Version() {
 		return s.reject(c, "version %d is not above the present one, %d", r.Version, s.Version())
 	}
--- a/internal/source/consensus.go
+++ b/internal/source/consensus.go
@@ -22,18 +22,6 @@
 	inspect func(*consensus) // Called in the consensus goroutine.
 }
 
-// proposal is a command that waits for its outcome.
-type proposal struct {
-	command ledger.Command
-	objects []config.Object    // All objects of a replacement; planReplacement computes the changes.
-	done    chan proposeResult // Buffered; receives one result.
-}
-
-type proposeResult struct {
-	outcome ledger.Outcome
-	err     error
-}
-
 type readResult struct {
 	confirmedRead
 	err error
@@ -46,12 +34,6 @@
 	applied  quorum.Index // 0 if a leader of an older build confirmed the read.
 }
 
-// pendingProposal is a proposal that is in the log but not yet applied.
-type pendingProposal struct {
-	term quorum.Term // Term in which the entry was appended.
-	done chan proposeResult
-}
-
 const (
 	maxQueuedInputs   = 4096
 	maxBatchInputs    = 1024 // Inputs handled before one sync to disk.
@@ -71,6 +53,7 @@
 	state            *ledger.State
 	inputs           *queue.Queue[input]
 	pendingProposals map[quorum.Index]pendingProposal
+	parkedProposals  []*proposal // Not in the log; see mustWait.
 	pendingReads     map[uint64]chan readResult
 	lastReadID       uint64
 	role             quorum.Role
@@ -123,6 +106,12 @@
 		if !c.processOutput(stop) {
 			return
 		}
+		if len(c.parkedProposals) > 0 {
+			c.proposeParked(now)
+			if !c.processOutput(stop) {
+				return
+			}
+		}
 		c.compact()
 		c.updateMembers()
 		c.updateRole(now)
@@ -163,81 +152,6 @@
 	}
 }
 
-// propose appends the command of p to the log if this replica leads. Otherwise,
-// and if the outcome is already known, it sends the result at once.
-func (c *consensus) propose(now time.Time, p *proposal) {
-	if c.core.Role() != quorum.RoleLeader {
-		p.done <- proposeResult{err: ErrNoLeader}
-		return
-	}
-	if !c.checkSpace(now) {
-		p.done <- c.diskFullResult(p.command)
-		return
-	}
-	if p.command.Replace != nil {
-		// Configurations are large: a resent one is not written to the log again.
-		if out, ok := c.state.PreviousOutcome(p.command); ok {
-			p.done <- proposeResult{outcome: out}
-			return
-		}
-	}
-	c.planReplacement(p)
-	p.command.At, p.command.Rules = now.UTC().Round(0), ledger.CurrentRules
-	data, err := encodeChecked(p.command)
-	if err != nil {
-		c.node.config.Counters.Add("changes_refused_invalid", 1)
-		p.done <- proposeResult{outcome: c.state.Refuse(p.command, err)}
-		return
-	}
-	index, term, err := c.core.Propose(data)
-	if err != nil {
-		p.done <- proposeResult{err: ErrNoLeader}
-		return
-	}
-	c.pendingProposals[index] = pendingProposal{term: term, done: p.done}
-}
-
-// encodeChecked returns the encoding of a valid command. It returns an error if a
-// replica could not apply the command: committed, it could not be taken back.
-func encodeChecked(command ledger.Command) ([]byte, error) {
-	if err := command.Check(); err != nil {
-		return nil, err
-	}
-	data, err := command.Encode()
-	if err != nil {
-		return nil, err
-	}
-	_, err = ledger.DecodeCommand(data)
-	return data, err
-}
-
-// diskFullResult returns the result of a command for which the disk has no room.
-// A resent command gets its stored outcome. If proposals are pending, the
-// result is ErrUnknown, because one of them may carry the same command.
-func (c *consensus) diskFullResult(command ledger.Command) proposeResult {
-	if out, ok := c.state.PreviousOutcome(command); ok {
-		return proposeResult{outcome: out}
-	}
-	if len(c.pendingProposals) > 0 {
-		return proposeResult{err: ErrUnknown}
-	}
-	c.node.config.Counters.Add("changes_refused_disk_full", 1)
-	return proposeResult{err: ErrDiskFull}
-}
-
-// checkSpace reports whether the disk has room for changes. It returns true if
-// the free space cannot be determined; if the disk is full then, saveOutput finds
-// out. It queries the file system at most once per spaceCheckInterval.
-func (c *consensus) checkSpace(now time.Time) bool {
-	if now.Sub(c.spaceCheckedAt) < spaceCheckInterval {
-		return c.hasSpace
-	}
-	free, err := c.node.config.FreeBytes(c.node.config.Disk.Folder)
-	c.spaceCheckedAt = now
-	c.hasSpace = err != nil || free >= c.node.config.MinFreeBytes
-	return c.hasSpace
-}
-
 // processOutput carries out the outputs of the core until there are none: it
 // syncs records, sends messages, applies committed entries and completes reads.
 // It returns false if the consensus goroutine must end.
@@ -435,15 +349,6 @@
 	}
 }
 
-// failPendingProposals completes all pending proposals with ErrUnknown: a later
-// leader may still commit them.
-func (c *consensus) failPendingProposals() {
-	for i, p := range c.pendingProposals {
-		p.done <- proposeResult{err: ErrUnknown}
-		delete(c.pendingProposals, i)
-	}
-}
-
 // failPending completes all pending proposals and reads with an error.
 func (c *consensus) failPending() {
 	c.failPendingProposals()
--- a/internal/source/opengroup_test.go
+++ b/internal/source/opengroup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -25,6 +26,7 @@
 	nodes   map[string]*source.Node // Running replicas by name.
 	folders map[string]string       // Data folders by name.
 	version uint64                  // Version of the last accepted configuration.
+	sync    func(*os.File) error    // Of replicas that start; nil means (*os.File).Sync.
 }
 
 func newOpenGroup(t *testing.T, founderCount int) *openGroup {
@@ -57,7 +59,7 @@
 func (g *openGroup) start(m source.Member, init bool) {
 	n, err := source.Start(source.Config{
 		Name: m.Name, Zone: "z", Listen: m.Address, Founders: g.seeds, Voters: 3, Init: init,
-		Disk:   disk.Config{Folder: g.folders[m.Name]},
+		Disk:   disk.Config{Folder: g.folders[m.Name], Sync: g.sync},
 		Timing: source.Timing{Heartbeat: 20 * time.Millisecond, Election: 200 * time.Millisecond},
 		Fatal:  func(err error) { g.t.Errorf("%s ended: %v", m.Name, err) },
 	})
