Calls: net/http's client never sends a request twice by itself

Cause: net/http's client repeats requests that look repeatable to it when a kept connection ends before the first byte of the response. Only the other of its two headers was hidden, and reading methods on repeatable routes were left to it.

Evidence: platform/daemon TestBrokenAnswerIsNotExecutedAgain and fleet TestHTTPTransportDoesNotRetry with the header failed before.

Change: PreventReplay, for both transports: the body cannot be rewound, the headers are hidden. The Idempotency-Key of a call on a host route is forwarded to other daemons; it was dropped.

--- a/internal/call/message.go
+++ b/internal/call/message.go
@@ -80,44 +80,50 @@
 	}
 }
 
-// SendBody returns the body to set in a request for the client of net/http. It
-// prevents the client from retrying the request by itself if the call is not
-// retryable. A nil result stands for an empty body.
+// PreventReplay keeps the client of net/http from sending a request a second time by
+// itself. The proxies alone decide that, by the route and the caller's attempts.
 //
-// If a kept-alive connection breaks, the client retries a request that has no
-// body, or a body that it can rewind, in two cases:
-//   - The method is GET, HEAD, OPTIONS or TRACE. If the call is not retryable,
-//     SendBody therefore returns an empty body that the client cannot rewind.
-//   - The request has an Idempotency-Key header. SetKey hides it from the client.
-func SendBody(method string, body io.ReadCloser, retryable bool) io.ReadCloser {
-	empty := body == nil || body == http.NoBody
-	if !empty {
-		return struct{ io.ReadCloser }{body}
+// If a kept-alive connection breaks, the client repeats a request that has no body, or a
+// body that it can rewind, if the method is GET, HEAD, OPTIONS or TRACE, or if there is a
+// header Idempotency-Key or X-Idempotency-Key. PreventReplay replaces a missing body by an
+// empty one that cannot be rewound, and hides the headers from the client: their names
+// are written in lower case, which means the same on the wire.
+func PreventReplay(r *http.Request) {
+	for _, name := range replayHeaders {
+		if values, ok := r.Header[name]; ok {
+			delete(r.Header, name)
+			r.Header[strings.ToLower(name)] = values
+		}
 	}
-	if retryable || !retriedByClient(method) {
-		return nil
+	r.GetBody = nil
+	switch {
+	case r.Body != nil && r.Body != http.NoBody:
+		r.Body = struct{ io.ReadCloser }{r.Body}
+	case isReplayMethod(r.Method):
+		r.Body = struct{ io.ReadCloser }{io.NopCloser(strings.NewReader(""))}
+	default:
+		// With a body that is not known to be empty, the client would use chunks.
+		r.Body = nil
 	}
-	return struct{ io.ReadCloser }{io.NopCloser(strings.NewReader(""))}
 }
 
-// retriedByClient reports whether the client of net/http retries requests with
-// this method.
-func retriedByClient(method string) bool {
+// replayHeaders are the headers for which the client of net/http repeats a request.
+var replayHeaders = []string{HeaderKey, "X-Idempotency-Key"}
+
+// isReplayMethod reports whether the client of net/http repeats requests with a method.
+func isReplayMethod(method string) bool {
 	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return true
 	}
 	return false
 }
 
-// SetKey sets the Idempotency-Key header, or removes it if key is empty. The
-// name is in lower case, so that the client of net/http does not find it: with
-// this header the client may send a request twice. Header names are
-// case-insensitive on the wire.
+// SetKey sets the Idempotency-Key header, or removes it if key is empty.
 func SetKey(h http.Header, key string) {
 	delete(h, HeaderKey)
 	if key != "" {
-		h[strings.ToLower(HeaderKey)] = []string{key}
+		h[HeaderKey] = []string{key}
 	}
 }
 
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -69,8 +69,8 @@
 }
 
 // newRequest returns the request to the inbound proxy of a target. Of the
-// caller's headers it keeps those that CopyHeader copies; the key is sent in
-// HeaderInnerKey.
+// caller's headers it keeps those that CopyHeader copies. The key of a team's call is
+// sent in HeaderInnerKey; for a host route it is a header like any other.
 func (p *Proxy) newRequest(ctx context.Context, now time.Time, c *routedCall, t feed.Target) *http.Request {
 	in := c.request
 	r := &http.Request{
@@ -80,14 +80,16 @@
 		URL:           &url.URL{Scheme: "http", Host: t.Inbound, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
 		Host:          in.Host,
 		Header:        make(http.Header, len(in.Header)+6),
-		Body:          call.SendBody(in.Method, c.body.open(), c.route.Retryable()),
+		Body:          c.body.open(),
 		ContentLength: c.body.length(),
 	}
 	call.CopyHeader(r.Header, in.Header)
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = nil // net/http adds its own otherwise.
 	}
-	delete(r.Header, call.HeaderKey)
+	if !isRoutedByHost(c.route) {
+		delete(r.Header, call.HeaderKey)
+	}
 	r.Header.Set(call.HeaderUpstream, t.ID)
 	r.Header.Set(call.HeaderBudget, strconv.FormatInt(c.deadline.Sub(now).Microseconds(), 10))
 	if team := c.route.Team(); team != "" {
@@ -114,6 +116,7 @@
 		r.Header.Set(call.HeaderRank, urgency.String())
 		r.Header.Set(call.HeaderCaller, c.caller)
 	}
+	call.PreventReplay(r)
 	return r.WithContext(ctx)
 }
 
--- a/internal/fleet/transport_test.go
+++ b/internal/fleet/transport_test.go
@@ -126,16 +126,12 @@
 	for _, host := range []string{"d0", "d1"} {
 		outbound := f.Daemon(host).Addresses().Outbound
 		for i := range 20 {
-			for _, key := range []string{"", fmt.Sprintf("key-%s-%d", host, i)} {
+			for _, header := range []map[string]string{{}, {call.HeaderKey: fmt.Sprintf("key-%s-%d", host, i)}, {"X-Idempotency-Key": "k"}} {
 				for _, body := range []string{"", "deposit"} {
-					id := fmt.Sprintf("%s-%d-%s-%s", host, i, key, body)
+					id := fmt.Sprintf("%s-%d-%v-%s", host, i, header, body)
 					s.broken.Store(false)
 					c.call(outbound, http.MethodPost, "/internal/bookings", id+"-first", strings.NewReader(body), nil)
 					s.broken.Store(true)
-					header := map[string]string{}
-					if key != "" {
-						header[call.HeaderKey] = key
-					}
 					a := c.call(outbound, http.MethodDelete, "/internal/bookings", id, strings.NewReader(body), header)
 					require.Equal(t, call.ExecutionUnknown, a.execution, "%v", a)
 					s.requireOnce(t, id)
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -57,7 +57,7 @@
 		URL:           &url.URL{Scheme: "http", Host: address, Path: c.URL.Path, RawPath: c.URL.RawPath, RawQuery: c.URL.RawQuery},
 		Host:          address,
 		Header:        http.Header{},
-		Body:          call.SendBody(c.Method, c.Body, c.Retryable),
+		Body:          c.Body,
 		ContentLength: c.Length,
 	}
 	call.CopyHeader(r.Header, c.Header)
@@ -66,5 +66,6 @@
 	// must not retry them on its own.
 	r.Header.Set(call.HeaderTimeout, timeout.String())
 	r.Header.Set(call.HeaderDepth, strconv.Itoa(call.Depth(c.Header)+1))
+	call.PreventReplay(r)
 	return r.WithContext(ctx)
 }
