HTTP server: a request behind a closing response is not handled

Cause: the connection accepted requests until the end of the response whose head had announced the close.

Evidence: http1 TestRequestBehindClosingResponseIsNotHandled failed before.

Change: with the decision to close, the connection accepts no more requests.

--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -130,7 +130,7 @@
 	if declared, err := strconv.ParseInt(w.header.Get("Content-Length"), 10, 64); err == nil {
 		length = declared
 	}
-	if w.conn.server.keepAlivesDisabled.Load() && w.conn.isLastPending() {
+	if w.conn.server.keepAlivesDisabled.Load() && w.conn.closeIfLastPending() {
 		w.closeConn = true
 	}
 	switch {
@@ -145,6 +145,7 @@
 		w.untilClose, w.closeConn = true, true
 	}
 	if w.closeConn {
+		w.conn.acceptNoMore()
 		w.header["Connection"] = []string{"close"}
 	}
 }
@@ -207,12 +208,21 @@
 	return c.closed
 }
 
-// isLastPending reports whether no other request is pending besides the one that
-// is being responded to.
-func (c *serverConn) isLastPending() bool {
+// closeIfLastPending makes the connection accept no more requests if none is pending
+// besides the one that is being responded to, and reports whether that is so.
+func (c *serverConn) closeIfLastPending() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.pending <= 1
+	c.closing = c.closing || c.pending <= 1
+	return c.closing
+}
+
+// acceptNoMore makes the connection accept no more requests: their responses could not
+// be sent after one that closes the connection.
+func (c *serverConn) acceptNoMore() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closing = true
 }
 
 // failAndClose stops further responses, cancels running requests and closes the
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -38,6 +38,7 @@
 	pending int           // Requests without a complete response.
 	idle    chan struct{} // Closed when pending returns to 0.
 	closed  bool          // No further request is started and no further response is written.
+	closing bool          // No further request is started; pending responses are written.
 
 	awaitingRequest bool          // The first byte of a request is awaited.
 	idleTimeout     time.Duration // The limit for that; 0 means none.
@@ -85,13 +86,18 @@
 }
 
 // awaitPending waits until all pending responses are written, or until the caller
-// closes the connection. Then it closes the connection.
+// closes the connection. Then it closes the connection, after the caller has closed it
+// or lingerTimeout.
 func (c *serverConn) awaitPending() {
 	c.mutex.Lock()
 	idle := c.idle
 	pending := c.pending
+	closing := c.closing
 	c.mutex.Unlock()
 	if pending == 0 {
+		if closing {
+			c.linger()
+		}
 		return
 	}
 	callerClosed := make(chan struct{})
@@ -103,11 +109,20 @@
 	}()
 	select {
 	case <-idle:
+		c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	case <-callerClosed:
 		c.cancel()
 	}
-	c.conn.Close()
 	<-callerClosed
+	c.conn.Close()
+}
+
+// linger reads what the caller is still sending, for lingerTimeout and up to
+// maxDrainBytes. If the connection were closed with unread data, TCP would send a reset,
+// which could overtake the response.
+func (c *serverConn) linger() {
+	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	io.Copy(io.Discard, io.LimitReader(c.conn, maxDrainBytes))
 }
 
 // readNext reads a request and starts its handler. lastDone points to the done
@@ -258,7 +273,7 @@
 func (c *serverConn) beginRequest() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closed {
+	if c.closed || c.closing {
 		return false
 	}
 	c.server.active.Add(1)
@@ -345,11 +360,7 @@
 	defer c.endRequest()
 	w.WriteHeader(status)
 	w.finish()
-	// Data that the caller is still sending is read for a while. If the connection
-	// were closed with unread data, TCP would send a reset, which could overtake
-	// the response.
-	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	io.Copy(io.Discard, io.LimitReader(c.conn, maxDrainBytes))
+	c.linger()
 }
 
 // lingerTimeout is how long a caller may go on sending after the last response,
