HTTP server: long responses are bounded by progress, not by 30 s

Cause: one write deadline from the head of a response on.

Evidence: http1 TestWriteTimeoutIsAboutProgress; with the fixed deadline set to the same 150 ms the steady response of 0.5 s was cut.

Change: each write of up to 16 KB has the deadline, so only a caller that takes nothing for 30 s is given up. The call's own deadline still ends a response of an upstream.

--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -8,10 +8,6 @@
 	"time"
 )
 
-// responseWriteTimeout bounds the time for writing a response from its header on,
-// which a caller that does not read would block.
-const responseWriteTimeout = 30 * time.Second
-
 // errConnClosed is returned to handlers whose response cannot be written any more.
 var errConnClosed = errors.New("http1: connection is closed")
 
@@ -118,7 +114,6 @@
 		w.status = http.StatusOK
 	}
 	w.setFraming(length)
-	w.conn.conn.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
 	w.writeHead()
 	return nil
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -44,6 +44,9 @@
 	// MaxPipelined is how many requests of one connection run concurrently; 0
 	// means 16.
 	MaxPipelined int
+	// WriteTimeout is how long a caller may go without reading while a response is being
+	// written; 0 means 30 s. A response that makes progress may take any time.
+	WriteTimeout time.Duration
 	// OnRejected is called for each request that the server rejects itself because
 	// it is malformed or over a limit. It may be nil and may be called
 	// concurrently.
@@ -56,6 +59,7 @@
 
 const (
 	defaultMaxPipelined = 16
+	defaultWriteTimeout = 30 * time.Second
 	// idleSlack is added to the idle time, so that a caller that keeps within it
 	// never finds the connection closed.
 	idleSlack = 2 * time.Second
@@ -85,6 +89,9 @@
 	if c.MaxPipelined == 0 {
 		c.MaxPipelined = defaultMaxPipelined
 	}
+	if c.WriteTimeout == 0 {
+		c.WriteTimeout = defaultWriteTimeout
+	}
 	if c.Limits == nil {
 		c.Limits = func() Limits { return Limits{} }
 	}
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -248,6 +248,38 @@
 	}
 }
 
+// A response that makes progress may take longer than the write timeout. A caller that
+// stops reading is given up after it.
+func TestWriteTimeoutIsAboutProgress(t *testing.T) {
+	const timeout = 150 * time.Millisecond
+	failed := make(chan time.Duration, 1)
+	_, address := serve(t, http1.ServerConfig{WriteTimeout: timeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/steady" {
+			for range 10 {
+				io.WriteString(w, "piece")
+				http.NewResponseController(w).Flush()
+				time.Sleep(timeout / 3)
+			}
+			return
+		}
+		begin := time.Now()
+		for time.Since(begin) < testTimeout {
+			if _, err := io.WriteString(w, strings.Repeat("x", 64<<10)); err != nil {
+				break
+			}
+		}
+		failed <- time.Since(begin)
+	})})
+	conn, reader := dial(t, address)
+	_, err := io.WriteString(conn, "GET /steady HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	_, body := readResponse(t, reader)
+	require.Equal(t, strings.Repeat("piece", 10), body)
+	_, err = io.WriteString(conn, "GET /stopped HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.Less(t, <-failed, testTimeout)
+}
+
 // Limits that are as large as their types allow must not reject requests.
 func TestHugeLimitsRejectNothing(t *testing.T) {
 	_, address := serve(t, http1.ServerConfig{
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -47,7 +47,7 @@
 func newServerConn(s *Server, conn net.Conn) *serverConn {
 	c := &serverConn{server: s, conn: conn, limited: newLimitedConn(conn)}
 	c.reader = bufio.NewReaderSize(c.limited, bufferSize)
-	c.writer = bufio.NewWriterSize(conn, bufferSize)
+	c.writer = bufio.NewWriterSize(progressWriter{conn: conn, timeout: s.config.WriteTimeout}, bufferSize)
 	c.pipelineSlots = make(chan struct{}, s.config.MaxPipelined)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
