Upstreams: an announcement for an unknown service ends no upstream

Cause: a newer announcement at an address ended the older upstream whatever service it named.

Evidence: upstream TestAnnouncementForUnknownServiceEndsNoUpstream fails without the check.

Change: it ends no upstream of a service that the configuration has, neither at the same address nor under the same ID, and is answered as a stale one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,6 +76,10 @@
 	}, d.hub)
 	d.inbound = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, OnChange: d.renewRecord,
 		NewSender: c.NewSender, FixedLimit: c.FixedLimit, CallLog: c.CallLog, CallID: c.CallID, AwaitRetirements: true,
+		IsService: func(name string) bool {
+			_, ok := d.hub.State().Table().Service(name)
+			return ok
+		},
 	})
 	d.outbound = caller.New(caller.Config{
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Random: c.Random, Ready: d.hub.Ready,
--- a/internal/upstream/incarnation.go
+++ b/internal/upstream/incarnation.go
@@ -131,7 +131,13 @@
 		return false
 	}
 	for id, r := range p.upstreams {
-		if id == a.ID || r.announcement.Address != a.Address {
+		if id != a.ID && r.announcement.Address != a.Address {
+			continue
+		}
+		if !p.config.IsService(a.Service) && p.config.IsService(r.announcement.Service) {
+			return false // Of another writer: it names no upstream to use.
+		}
+		if id == a.ID {
 			continue
 		}
 		if !r.resumed && incarnation.Start < r.incarnation.Start {
--- a/internal/upstream/incarnation_test.go
+++ b/internal/upstream/incarnation_test.go
@@ -74,6 +74,29 @@
 	require.Equal(t, map[string]directory.State{"next": directory.StateReady}, states(p))
 }
 
+// An announcement of another writer, for a service that the configuration does not have,
+// must not end the upstream at its address. One for a service that it has does, and so does
+// any while the present upstream's service does not exist either.
+func TestAnnouncementForUnknownServiceEndsNoUpstream(t *testing.T) {
+	services := map[string]bool{"stock": true, "desk": true}
+	p := upstream.New(upstream.Config{
+		Clock: func() time.Time { return testStart }, Counters: &count.Set{}, Events: event.New("d", "z"),
+		IsService: func(name string) bool { return services[name] },
+	})
+	require.NoError(t, p.Heartbeat(testStart, announcement("w", "stock", address), upstream.Incarnation{Start: 10, Sequence: 1}, false))
+	odd := announcement("odd", "nowhere", address)
+	require.ErrorIs(t, p.Heartbeat(testStart, odd, upstream.Incarnation{Start: 20, Sequence: 1}, false), upstream.ErrStale)
+	odd.ID, odd.Address = "w", "127.0.0.1:9001"
+	require.ErrorIs(t, p.Heartbeat(testStart, odd, upstream.Incarnation{Start: 20, Sequence: 1}, false), upstream.ErrStale)
+	require.Equal(t, map[string]directory.State{"w": directory.StateReady}, states(p))
+	require.NoError(t, p.Heartbeat(testStart, announcement("w", "stock", address), upstream.Incarnation{Start: 10, Sequence: 2}, false))
+	require.NoError(t, p.Heartbeat(testStart, announcement("next", "desk", address), upstream.Incarnation{Start: 20, Sequence: 1}, false))
+	require.Equal(t, map[string]directory.State{"next": directory.StateReady}, states(p))
+	delete(services, "desk")
+	require.NoError(t, p.Heartbeat(testStart, announcement("after", "nowhere", address), upstream.Incarnation{Start: 30, Sequence: 1}, false))
+	require.Equal(t, map[string]directory.State{"after": directory.StateReady}, states(p))
+}
+
 // A delayed announcement does not add an upstream again that was replaced at its
 // address. Ended upstreams are remembered for a limited time only.
 func TestEndedUpstreamIsNotReadded(t *testing.T) {
--- a/internal/upstream/proxy.go
+++ b/internal/upstream/proxy.go
@@ -117,6 +117,10 @@
 	// Otherwise the limit is lowered while calls take long, which suits upstreams
 	// whose calls take similar times.
 	FixedLimit bool
+	// IsService reports whether the configuration in force has a service. An announcement
+	// for a service that it does not have must not end an upstream of one that it has. Nil
+	// means that all services exist. It is called with a lock held.
+	IsService func(name string) bool
 	// AwaitRetirements lets calls to upstreams wait until SetRetirements or
 	// ReleaseAnnouncements is called: until then it is not known whether an announcement
 	// is a late one of an upstream that has left. Announcements without a Start are not
@@ -144,6 +148,9 @@
 	if c.CallID == nil {
 		c.CallID = func(http.Header) string { return "" }
 	}
+	if c.IsService == nil {
+		c.IsService = func(string) bool { return true }
+	}
 	if c.NewSender == nil {
 		c.NewSender = newHTTPSender
 	}
