Calls: paths and queries are forwarded byte for byte

What callers saw: | and the like in a path became %7C on the way to an upstream beside another daemon, and an empty query lost its question mark (review, by reading).

Cause: the request to the inbound proxy was built from the parsed URL, which is encoded anew, and the inbound proxy encoded once more for the upstream.

Evidence: platform/daemon TestTargetIsForwardedUnchanged, 17 targets through both daemons, failed before at the second.

Change: the target of the request is passed on as it was read (call.Target, TargetURL).

--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -30,7 +29,7 @@
 func (p *Proxy) send(c *routedCall, t feed.Target) (*upstream.Response, error) {
 	if t.Host == p.config.Host {
 		return p.config.Inbound.Do(c.request.Context(), upstream.Call{
-			Upstream: t.ID, Method: c.request.Method, Host: c.request.Host, URL: c.request.URL, Header: c.request.Header,
+			Upstream: t.ID, Method: c.request.Method, Host: c.request.Host, Target: call.Target(c.request), Header: c.request.Header,
 			Body: c.body.open(), Length: c.body.length(), Key: c.key,
 			Retryable: c.route.Retryable(), Deadline: c.deadline, Expiry: c.expiry,
 			Route: c.route.Name(), Caller: c.caller, Urgency: c.urgency,
@@ -77,7 +76,7 @@
 		// net/http waits with the body of a request only from HTTP/1.1 on.
 		ProtoMajor: 1, ProtoMinor: 1,
 		Method:        in.Method,
-		URL:           &url.URL{Scheme: "http", Host: t.Inbound, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
+		URL:           call.TargetURL(t.Inbound, call.Target(in)),
 		Host:          in.Host,
 		Header:        make(http.Header, len(in.Header)+6),
 		Body:          c.body.open(),
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -24,8 +23,8 @@
 type Call struct {
 	Upstream string
 	Method   string
-	Host     string   // The caller's Host header.
-	URL      *url.URL // Path and query.
+	Host     string // The caller's Host header.
+	Target   string // Path and query, as the caller wrote them; begins with a slash.
 	Header   http.Header
 	Body     io.ReadCloser
 	Length   int64 // Of the body, in bytes; -1 if unknown.
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -54,7 +53,7 @@
 func newRequest(ctx context.Context, timeout time.Duration, address string, c Call) *http.Request {
 	r := &http.Request{
 		Method:        c.Method,
-		URL:           &url.URL{Scheme: "http", Host: address, Path: c.URL.Path, RawPath: c.URL.RawPath, RawQuery: c.URL.RawQuery},
+		URL:           call.TargetURL(address, c.Target),
 		Host:          address,
 		Header:        http.Header{},
 		Body:          c.Body,
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -45,7 +45,7 @@
 		return Call{}, call.NotExecutedError(call.ReasonBadCall)
 	}
 	c := Call{
-		Upstream: id, Method: r.Method, Host: r.Host, URL: r.URL, Header: r.Header, Body: r.Body, Length: r.ContentLength,
+		Upstream: id, Method: r.Method, Host: r.Host, Target: call.Target(r), Header: r.Header, Body: r.Body, Length: r.ContentLength,
 		Key:       r.Header.Get(call.HeaderInnerKey),
 		Retryable: r.Header.Get(call.HeaderRepeat) == "safe",
 		Deadline:  now.Add(budget),
