HTTP server: callers that wait for 100 Continue are asked for the body

What callers saw: a caller that sends Expect: 100-continue and waits was never asked for its body; its request ended at its deadline (review, by reading).

Evidence: http1 TestCallerIsAskedForBody: no informational response came before.

Change: the first read of such a body asks for it, once the earlier responses of the connection are complete. A handler that responds without the body closes the connection in place of waiting for it.

--- a/internal/http1/requestbody.go
+++ b/internal/http1/requestbody.go
@@ -24,6 +24,11 @@
 	ended chan struct{}
 	once  sync.Once
 	err   error // Set before ended is closed; nil if the body is complete.
+	// askCaller asks a caller that waits for that to send the body, at the first read. It
+	// returns false if the body cannot be asked for any more. Nil if the caller does not
+	// wait.
+	askCaller func() bool
+	asked     bool
 }
 
 // newRequestBody returns a body of at most limit bytes; 0 means no limit.
@@ -45,6 +50,10 @@
 		return 0, b.err
 	default:
 	}
+	if !b.ask() {
+		b.end(errNotAskedFor)
+		return 0, errNotAskedFor
+	}
 	n, err := b.ReadCloser.Read(p)
 	if b.remaining >= 0 {
 		if b.remaining -= int64(n); b.remaining < 0 {
@@ -58,6 +67,23 @@
 	return n, err
 }
 
+// errNotAskedFor means that the caller waits to be asked for the body, and that the
+// response has begun.
+var errNotAskedFor = errors.New("http1: the caller was not asked for the body")
+
+// ask asks the caller for the body if it waits for that. It returns false if that is not
+// possible any more.
+func (b *requestBody) ask() bool {
+	if b.askCaller == nil || b.asked {
+		return true
+	}
+	b.asked = b.askCaller()
+	return b.asked
+}
+
+// awaitsAsking reports whether the caller still waits to be asked for the body.
+func (b *requestBody) awaitsAsking() bool { return b.askCaller != nil && !b.asked }
+
 // Close does nothing: the connection reads the rest of the body.
 func (b *requestBody) Close() error { return nil }
 
@@ -85,6 +111,10 @@
 		return !b.isIncomplete()
 	default:
 	}
+	if b.awaitsAsking() {
+		b.end(errNotAskedFor)
+		return false
+	}
 	_, err := io.CopyN(io.Discard, b, maxDrainBytes)
 	return err == io.EOF
 }
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -22,12 +23,15 @@
 	header       http.Header
 	status       int
 	// closeConn means that the connection closes after this response.
-	closeConn   bool
-	chunked     bool
-	untilClose  bool  // The body ends with the connection.
-	remaining   int64 // Bytes of the declared length still to be written.
-	hasTurn     bool  // The previous response is complete.
-	headWritten bool  // The status line and the header are written.
+	closeConn  bool
+	chunked    bool
+	untilClose bool  // The body ends with the connection.
+	remaining  int64 // Bytes of the declared length still to be written.
+	hasTurn    bool  // The previous response is complete.
+	// headMutex guards headWritten: the body of the request, whose first read may write an
+	// informational response, may be read concurrently.
+	headMutex   sync.Mutex
+	headWritten bool // The status line and the header are written.
 }
 
 func newResponse(c *serverConn, r *http.Request, previousDone chan struct{}, closeConn bool) *response {
@@ -99,9 +103,7 @@
 		return nil
 	}
 	if !w.hasTurn {
-		select {
-		case <-w.previousDone:
-		case <-w.conn.ctx.Done():
+		if !w.awaitTurn() {
 			return errConnClosed
 		}
 		w.hasTurn = true
@@ -109,6 +111,8 @@
 	if w.conn.isClosed() {
 		return errConnClosed
 	}
+	w.headMutex.Lock()
+	defer w.headMutex.Unlock()
 	w.headWritten = true
 	if w.status == 0 {
 		w.status = http.StatusOK
@@ -118,6 +122,33 @@
 	return nil
 }
 
+// awaitTurn waits until the responses to earlier requests are complete. It returns false
+// if the connection ends before.
+func (w *response) awaitTurn() bool {
+	select {
+	case <-w.previousDone:
+		return true
+	case <-w.conn.ctx.Done():
+		return false
+	}
+}
+
+// writeContinue asks the caller to send the body of the request. It returns false if the
+// response has begun or the connection has ended. Unlike the other methods, it may be
+// called concurrently with them.
+func (w *response) writeContinue() bool {
+	if !w.awaitTurn() {
+		return false
+	}
+	w.headMutex.Lock()
+	defer w.headMutex.Unlock()
+	if w.headWritten || w.conn.isClosed() {
+		return false
+	}
+	w.conn.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+	return w.conn.writer.Flush() == nil
+}
+
 // setFraming chooses how the end of the body is marked: by its length, by chunked
 // encoding or by closing the connection. A Content-Length header that the handler
 // set overrides length.
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -280,6 +280,52 @@
 	require.Less(t, <-failed, testTimeout)
 }
 
+// A caller that waits for it is asked for the body of its request when the handler reads
+// it, once earlier responses are complete. If the handler responds without the body, the
+// caller is not asked, and the connection closes.
+func TestCallerIsAskedForBody(t *testing.T) {
+	release := make(chan struct{})
+	_, address := serve(t, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/slow":
+			<-release
+		case "/read":
+			io.Copy(w, r.Body)
+		}
+	})})
+	conn, reader := dial(t, address)
+	for _, framing := range []string{"Content-Length: 2\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"} {
+		_, err := io.WriteString(conn, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /read HTTP/1.1\r\nHost: h\r\nExpect: 100-Continue\r\n"+framing)
+		require.NoError(t, err)
+		conn.SetReadDeadline(time.Now().Add(30 * time.Millisecond))
+		_, err = reader.Peek(1)
+		require.Error(t, err, "nothing may precede the response to the first request")
+		conn.SetReadDeadline(time.Now().Add(testTimeout))
+		release <- struct{}{}
+		response, _ := readResponse(t, reader)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		line, err := reader.ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, "HTTP/1.1 100 Continue\r\n", line)
+		_, err = reader.ReadString('\n')
+		require.NoError(t, err)
+		body := "ab"
+		if strings.HasPrefix(framing, "Transfer") {
+			body = "2\r\nab\r\n0\r\n\r\n"
+		}
+		_, err = io.WriteString(conn, body)
+		require.NoError(t, err)
+		_, read := readResponse(t, reader)
+		require.Equal(t, "ab", read)
+	}
+	_, err := io.WriteString(conn, "POST /ignore HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	require.NoError(t, err)
+	response, _ := readResponse(t, reader)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // Limits that are as large as their types allow must not reject requests.
 func TestHugeLimitsRejectNothing(t *testing.T) {
 	_, address := serve(t, http1.ServerConfig{
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 )
@@ -242,6 +243,9 @@
 	}
 	closeConn := r.Close || !r.ProtoAtLeast(1, 1)
 	w := newResponse(c, r, *lastDone, closeConn)
+	if body != nil && r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		body.askCaller = w.writeContinue
+	}
 	*lastDone = w.done
 	if !c.beginRequest() {
 		cancel()
