--- a/internal/daemon/retire.go
+++ b/internal/daemon/retire.go
@@ -11,8 +11,8 @@
 	// retireTimeout limits how long an upstream waits for the answer to its leave. It
 	// gives up after a second.
 	retireTimeout = 850 * time.Millisecond
-	// maxAnnouncementDelay is how late an announcement may arrive. Those that arrive
-	// later than that after the daemon's start were sent after it.
+	// maxAnnouncementDelay bounds how late an announcement is expected to arrive. Those
+	// that arrive later than that after the daemon's start were sent after it.
 	maxAnnouncementDelay = 6 * time.Second
 )
 
@@ -53,7 +53,7 @@
 	if now.Sub(d.startedAt) <= maxAnnouncementDelay {
 		return
 	}
-	if dropped := d.inbound.ReleaseAnnouncements(now); dropped > 0 {
-		d.config.Logger.Log("msg", "the source could not be asked which upstreams have left; they must announce themselves again", "upstreams", dropped)
+	if ended := d.inbound.ReleaseAnnouncements(now); ended > 0 {
+		d.config.Logger.Log("msg", "the source could not be asked which upstreams have left; they must announce themselves again", "upstreams", ended)
 	}
 }
--- a/internal/feed/retire.go
+++ b/internal/feed/retire.go
@@ -18,9 +18,9 @@
 )
 
 // Retire has the source record the retirement of an upstream of this daemon. It asks
-// one replica after the other, and returns ErrNotRecorded if none has recorded it by
-// deadline; it may be recorded all the same. A source of an older build records
-// nothing, and the error is nil as the daemons of that build do without.
+// one replica after the other, and returns ErrNotRecorded if none has answered that it is
+// recorded by deadline; it may be recorded all the same. A source of an older build knows
+// no retirements; the error is nil then, so that upstreams can leave during an upgrade.
 func (c *Client) Retire(r directory.Retirement, deadline time.Time) error {
 	for {
 		for _, address := range c.sources() {
--- a/internal/upstream/retire.go
+++ b/internal/upstream/retire.go
@@ -17,9 +17,9 @@
 //
 // start is when the upstream started that leaves, in milliseconds since 1970; 0 means
 // the one that is registered. The retirement of an earlier start than that changes
-// nothing here, but must be recorded: the next incarnation may get a late announcement
-// of that start first. An upstream that is not registered is remembered as ended. The error is
-// ErrStopping, or matches ErrInvalid.
+// nothing here, but must be recorded: the daemon's next incarnation may get a late
+// announcement of that start first. An upstream that is not registered is remembered as
+// ended. The error is ErrStopping, or matches ErrInvalid.
 func (p *Proxy) Retire(now time.Time, id string, start int64) (retirement directory.Retirement, recorded bool, err error) {
 	if err := errs.Combine((directory.Retirement{ID: id, Start: start}).Check(), Incarnation{Start: start}.check(now)); err != nil {
 		return directory.Retirement{}, false, errs.Combine(ErrInvalid, err)
@@ -85,8 +85,8 @@
 	return directory.Retirement{ID: id, Start: i.Start, Sequence: i.Sequence}
 }
 
-// MarkRecorded notes that the source has recorded a retirement. Retirements of the same
-// start need not be recorded again.
+// MarkRecorded states that the source has recorded a retirement that Retire returned.
+// Retirements of the same start need not be recorded again.
 func (p *Proxy) MarkRecorded(retirement directory.Retirement) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
