--- a/internal/source/opengroup_test.go
+++ b/internal/source/opengroup_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/endivewalk/endivewalk/internal/disk"
+	"github.com/endivewalk/endivewalk/internal/fleet"
 	"github.com/endivewalk/endivewalk/internal/ledger"
 	"github.com/endivewalk/endivewalk/internal/source"
 	"github.com/endivewalk/endivewalk/pkg/config"
@@ -48,12 +48,13 @@
 // newMember returns a member with an unused name, a free address and a data
 // folder of its own.
 func (g *openGroup) newMember() source.Member {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Not an ephemeral port: while the replica is stopped, the system could give it to an
+	// outgoing connection.
+	addresses, err := fleet.FreeAddresses(fleet.FreeIP(), 1)
 	require.NoError(g.t, err)
-	defer l.Close()
 	name := fmt.Sprintf("r%d", len(g.folders))
 	g.folders[name] = g.t.TempDir()
-	return source.Member{Name: name, Address: l.Addr().String()}
+	return source.Member{Name: name, Address: addresses[0]}
 }
 
 func (g *openGroup) start(m source.Member, init bool) {
--- a/internal/upstream/retire_test.go
+++ b/internal/upstream/retire_test.go
@@ -90,8 +90,9 @@
 
 	results := map[string]chan error{}
 	for _, id := range []string{"stays", "left", "timed"} {
-		results[id] = make(chan error, 1)
-		go func() { results[id] <- send(id) }()
+		result := make(chan error, 1)
+		results[id] = result
+		go func() { result <- send(id) }()
 	}
 	time.Sleep(50 * time.Millisecond)
 	require.Empty(t, sent)
