--- a/internal/ledger/retire.go
+++ b/internal/ledger/retire.go
@@ -72,15 +72,14 @@
 	return all
 }
 
-// Retirements returns the newest retirements of the upstreams beside the daemon on
-// host, in no order.
-func (s *State) Retirements(host string) []directory.Retirement {
-	byID := s.retirements.byHost[host]
-	all := make([]directory.Retirement, 0, len(byID))
-	for _, r := range byID {
-		all = append(all, r)
+// RetirementsByHost returns the newest retirements of the upstreams beside each daemon,
+// oldest first. The map is a copy.
+func (s *State) RetirementsByHost() map[string][]directory.Retirement {
+	byHost := make(map[string][]directory.Retirement, len(s.retirements.byHost))
+	for _, r := range s.retirements.all() {
+		byHost[r.Host] = append(byHost[r.Host], r.Retirement)
 	}
-	return all
+	return byHost
 }
 
 // applyRetire keeps a retirement. It makes no revision, and the outcome is not stored:
--- a/internal/ledger/retire_test.go
+++ b/internal/ledger/retire_test.go
@@ -34,9 +34,9 @@
 	require.NoError(t, err)
 	for _, s := range []*ledger.State{s, restored} {
 		require.Equal(t, before, s.Revision())
-		require.ElementsMatch(t, []directory.Retirement{{ID: "w", Start: 7}, {ID: "x", Start: 1}}, s.Retirements("d1"))
-		require.Equal(t, []directory.Retirement{{ID: "w", Start: 9}}, s.Retirements("d2"))
-		require.Empty(t, s.Retirements("d3"))
+		require.ElementsMatch(t, []directory.Retirement{{ID: "w", Start: 7}, {ID: "x", Start: 1}}, s.RetirementsByHost()["d1"])
+		require.Equal(t, []directory.Retirement{{ID: "w", Start: 9}}, s.RetirementsByHost()["d2"])
+		require.Empty(t, s.RetirementsByHost()["d3"])
 	}
 	again, err := restored.Snapshot()
 	require.NoError(t, err)
@@ -50,9 +50,11 @@
 	for i := range count {
 		s.Apply(retireCommand(fmt.Sprint("d", i), "w", 1))
 	}
-	require.Empty(t, s.Retirements(fmt.Sprint("d", count-kept-1)))
-	require.Len(t, s.Retirements(fmt.Sprint("d", count-kept)), 1)
-	require.Len(t, s.Retirements(fmt.Sprint("d", count-1)), 1)
+	byHost := s.RetirementsByHost()
+	require.Len(t, byHost, kept)
+	require.Empty(t, byHost[fmt.Sprint("d", count-kept-1)])
+	require.Len(t, byHost[fmt.Sprint("d", count-kept)], 1)
+	require.Len(t, byHost[fmt.Sprint("d", count-1)], 1)
 }
 
 // An invalid retirement is refused by every build that knows retirements.
@@ -61,6 +63,6 @@
 		require.ErrorIs(t, c.Check(), ledger.ErrInvalid)
 		s := ledger.New()
 		require.Equal(t, ledger.StatusRefused, s.Apply(c).Status)
-		require.Empty(t, s.Retirements(c.Retire.Host))
+		require.Empty(t, s.RetirementsByHost())
 	}
 }
--- a/internal/source/consensus.go
+++ b/internal/source/consensus.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/disk"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/ledger"
@@ -32,6 +33,8 @@
 type confirmedRead struct {
 	revision config.Revision
 	applied  quorum.Index // 0 if a leader of an older build confirmed the read.
+	// retired holds the retirements by host; set by confirmRetirements only.
+	retired map[string][]directory.Retirement
 }
 
 const (
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -23,13 +23,14 @@
 	consensus *consensus
 	server    *peer.Server
 	traffic   peer.Traffic
-	// confirmations serves Latest.
-	confirmations confirmations
-	links         links
-	zones         zones
-	leader        atomic.Value // A replica name (string), or "".
-	stop          chan struct{}
-	background    sync.WaitGroup
+	// confirmations serves Latest, and startConfirmations the daemons that start.
+	confirmations      confirmations
+	startConfirmations confirmations
+	links              links
+	zones              zones
+	leader             atomic.Value // A replica name (string), or "".
+	stop               chan struct{}
+	background         sync.WaitGroup
 
 	linksStarted bool // Guarded by links.mutex.
 
--- a/internal/source/retire.go
+++ b/internal/source/retire.go
@@ -37,24 +37,34 @@
 
 // latestFor returns the newest accepted revision and the retirements of the upstreams
 // beside the daemon on args.Host, all of those that were committed before the call.
+// Concurrent calls share the confirmation and one look at the state.
 func (n *Node) latestFor(args feed.LatestArgs) (feed.LatestReply, error) {
-	confirmed, err := n.confirmations.do(n.confirmLatest)
+	confirmed, err := n.startConfirmations.do(n.confirmRetirements)
 	if err != nil {
 		return feed.LatestReply{}, err
 	}
-	reply := feed.LatestReply{Revision: confirmed.revision}
+	return feed.LatestReply{Revision: confirmed.revision, Retired: confirmed.retired[args.Host]}, nil
+}
+
+// confirmRetirements returns the newest accepted revision, confirmed by a quorum, and the
+// retirements that this replica has applied by that point of the log.
+func (n *Node) confirmRetirements() (confirmedRead, error) {
+	confirmed, err := n.confirmLatest()
+	if err != nil {
+		return confirmedRead{}, err
+	}
 	for start := n.config.Clock(); ; {
 		reached := false
 		inspected := n.inspect(func(c *consensus) {
 			if reached = c.core.Applied() >= confirmed.applied; reached {
-				reply.Retired = c.state.Retirements(args.Host)
+				confirmed.retired = c.state.RetirementsByHost()
 			}
 		})
 		if inspected && reached {
-			return reply, nil
+			return confirmed, nil
 		}
 		if n.config.Clock().Sub(start) > configCatchUpTimeout || !n.pause(configPollInterval) {
-			return feed.LatestReply{}, feed.ErrUnconfirmed
+			return confirmedRead{}, feed.ErrUnconfirmed
 		}
 	}
 }
