--- a/internal/daemon/breaker.go
+++ b/internal/daemon/breaker.go
@@ -89,6 +89,7 @@
 	}
 	d.breakers.trip(m)
 	d.config.Counters.Add("brakes", 1)
+	d.config.Logger.Log("msg", "opened the circuit breaker of a move", "service", m.Service, "to", m.To, "share", m.Share, "reason", reason)
 	d.config.Events.Add(d.config.Clock(), event.Event{
 		Kind: "brake", Subject: m.Service, Request: m.Request,
 		Text: "sends no calls to " + m.To + " any more: " + reason,
--- a/internal/source/commandevent.go
+++ b/internal/source/commandevent.go
@@ -20,6 +20,19 @@
 	}
 }
 
+// proposalKind returns the kind of a command, as a label of metrics.
+func proposalKind(c ledger.Command) string {
+	switch {
+	case c.Retire != nil:
+		return "retire"
+	case c.Replace != nil:
+		return "replace"
+	default:
+		kind, _ := describeCommand(c)
+		return kind
+	}
+}
+
 // stepText returns the event text of a step of a move.
 func stepText(s *ledger.MoveStep) string {
 	switch s.State {
--- a/internal/source/consensus.go
+++ b/internal/source/consensus.go
@@ -44,6 +44,8 @@
 	// spaceCheckInterval is the minimum time between two checks of free disk
 	// space, and the pause before a write to a full disk is retried.
 	spaceCheckInterval = 200 * time.Millisecond
+	// slowRound is the duration of a round from which on it is logged.
+	slowRound = 150 * time.Millisecond
 )
 
 // consensus owns the consensus core, the data folder and the replicated state
@@ -64,6 +66,7 @@
 	hasSpace         bool
 	spaceCheckedAt   time.Time
 	membersVersion   uint64 // MembersVersion of the member list that was last passed to the node.
+	roundStart       time.Time
 }
 
 // newConsensus restores the state machine from the snapshot in start, if there
@@ -100,7 +103,9 @@
 		case <-stop:
 			return
 		case <-ticker.C:
+			c.roundStart = c.node.config.Clock()
 		case in := <-c.inputs.Out():
+			c.roundStart = c.node.config.Clock()
 			c.handle(in)
 			c.handleQueued()
 		}
@@ -119,9 +124,23 @@
 		c.updateMembers()
 		c.updateRole(now)
 		c.node.hub.SetLastContact(c.core.UpToDateAt(now))
+		c.recordRound(c.node.config.Clock())
 	}
 }
 
+// recordRound records how long the goroutine was busy with the round that ends at now.
+// Meanwhile it has neither received nor sent a message.
+func (c *consensus) recordRound(now time.Time) {
+	took := now.Sub(c.roundStart)
+	c.node.config.Counters.Observe("consensus_round", "role", c.role.String(), took)
+	if took < slowRound {
+		return
+	}
+	c.node.config.Counters.Add("consensus_slow_rounds", 1)
+	c.node.config.Logger.Log("msg", "a round of the consensus was slow", "took", took, "role", c.role,
+		"applied", c.core.Applied(), "last", c.core.Last(), "queued", len(c.inputs.Out()))
+}
+
 // handleQueued handles up to maxBatchInputs inputs that are already queued, so
 // that one sync to disk covers many changes.
 func (c *consensus) handleQueued() {
--- a/internal/source/movecontroller.go
+++ b/internal/source/movecontroller.go
@@ -38,7 +38,7 @@
 		for _, m := range n.Moves() {
 			if m.State == config.MoveRunning {
 				running[m.Service] = true
-				n.decideMove(analyzedMoves, m)
+				n.decideMove(n.config.Clock(), analyzedMoves, m)
 			}
 		}
 		n.hub.RetainCallStats(func(service string) bool { return running[service] })
@@ -63,15 +63,17 @@
 
 // decideMove feeds the call statistics of a move to its analyzer and proposes a
 // step if the decision changes the move.
-func (n *Node) decideMove(analyzedMoves map[string]*analyzedMove, m ledger.VersionedMove) {
+func (n *Node) decideMove(now time.Time, analyzedMoves map[string]*analyzedMove, m ledger.VersionedMove) {
 	analyzed := analyzedMoves[m.Service]
 	if analyzed == nil || !analyzed.start.Equal(m.Start) {
 		analyzed = &analyzedMove{analyzer: move.NewAnalyzer(n.config.Policy), start: m.Start}
 		analyzedMoves[m.Service] = analyzed
+		n.config.Logger.Log("msg", "analyzing a move", "service", m.Service, "from", m.From, "to", m.To,
+			"share", m.Share, "revision", m.Revision, "age", now.Sub(m.Start), "left", m.By.Sub(now))
 	}
 	service, _ := n.hub.State().Table().Service(m.Service)
-	analyzed.analyzer.Observe(n.config.Clock(), m.Move, n.hub.CallStats(m.Service))
-	decision := analyzed.analyzer.Decide(n.config.Clock(), m.Move, n.readySlots(m.Move), service.Deadline)
+	analyzed.analyzer.Observe(now, m.Move, n.hub.CallStats(m.Service))
+	decision := analyzed.analyzer.Decide(now, m.Move, n.readySlots(m.Move), service.Deadline)
 	if decision.State == m.State && decision.Share == m.Share && decision.Reason == m.Reason {
 		return
 	}
@@ -79,17 +81,27 @@
 		return // A step from this revision has been proposed already.
 	}
 	analyzed.decidedRevision = m.Revision
-	command := ledger.Command{
+	outcome, err := n.proposeStep(now, m, decision)
+	n.config.Logger.Log("msg", "step of a move", "service", m.Service, "to", m.To, "age", now.Sub(m.Start),
+		"state", decision.State, "share", decision.Share, "reason", decision.Reason,
+		"calls", decision.Touched, "failed", decision.Failed, "slots", fmt.Sprint(n.readySlots(m.Move)),
+		"replaces", m.Revision, "status", outcome.Status, "revision", outcome.Revision, "refusal", outcome.Reason,
+		"took", n.config.Clock().Sub(now), "err", err)
+	if err != nil {
+		analyzed.decidedRevision = 0 // The next check decides and proposes again.
+	}
+}
+
+// proposeStep proposes the step of m that decision asks for.
+func (n *Node) proposeStep(now time.Time, m ledger.VersionedMove, decision move.Decision) (ledger.Outcome, error) {
+	return n.Propose(ledger.Command{
 		Request:  fmt.Sprintf("step-%s-%d-%d-%s", m.Service, m.Revision, decision.Share, decision.State),
 		Operator: controllerOperator,
 		Step: &ledger.MoveStep{
 			Service: m.Service, Replaces: m.Revision, Share: decision.Share, State: decision.State,
 			Reason: decision.Reason, Touched: decision.Touched, Failed: decision.Failed,
 		},
-	}
-	if _, err := n.Propose(command, n.config.Clock().Add(stepTimeout)); err != nil {
-		analyzed.decidedRevision = 0 // The next check decides and proposes again.
-	}
+	}, now.Add(stepTimeout))
 }
 
 // readySlots returns the number of slots of ready upstreams: of the old version,
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -304,6 +304,10 @@
 func (n *Node) submitProposal(p proposal) (ledger.Outcome, error) {
 	done := make(chan proposeResult, 1)
 	p.done = done
+	start := n.config.Clock()
+	defer func() {
+		n.config.Counters.Observe("proposal", "kind", proposalKind(p.command), n.config.Clock().Sub(start))
+	}()
 	if !n.consensus.inputs.Offer(input{propose: &p}) {
 		return ledger.Outcome{}, ErrBusy
 	}
