Moves: the alarm compares failures with those of the old version

Cause: the alarm was switched off for good once the old version had failed a fifteenth of its calls since the start, and below that it took no account of its failures.

Change: the alarm counts failures beyond the old version's fraction, since the start or recent, whichever is higher.

--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -130,7 +130,7 @@
 		hosts[r.Host][r.Route] = h
 	}
 	a.all.observe(now, routes)
-	a.alarm.observe(now, a.all.total(allRoutes)[newSide])
+	a.alarm.observe(now, a.all.total(allRoutes))
 	for host, hostCounts := range hosts {
 		if a.withoutHost[host] == nil {
 			a.withoutHost[host] = newGroup()
@@ -184,7 +184,7 @@
 	}
 	result, reason := a.assess(a.threshold())
 	pastDeadline := !now.Before(m.By)
-	raised, alarmReason := a.alarm.raised(a.policy.AlarmRate, a.all.total(allRoutes)[oldSide])
+	raised, alarmReason := a.alarm.raised(a.policy.AlarmRate)
 	switch {
 	case raised:
 		return a.rollBack(d, alarmReason)
@@ -295,7 +295,7 @@
 // the new version is bad, and why. It requires stronger evidence than Decide,
 // because each of many daemons makes this test.
 func (a *Analyzer) Regressed() (bool, string) {
-	if raised, alarmReason := a.alarm.raised(a.policy.AlarmRate, a.all.total(allRoutes)[oldSide]); raised {
+	if raised, alarmReason := a.alarm.raised(a.policy.AlarmRate); raised {
 		return true, alarmReason
 	}
 	result, reason := a.assess(a.threshold() + localThresholdExtra)
