Moves: the share rises only for a version that is proven

Cause: failing open. Each step of a move was due by the clock and only needed that nothing spoke against the version. With weak evidence (a fault in a third of the calls, under load only, beside failures of the old version) nothing did in time, and at a large share the comparison of both versions says least. Nothing bounded the calls of the new version.

Change: a step above the limit's fraction needs a proof: the odds that the version does not spoil 0.3 of its calls beyond what the old one spoils, over all routes, with no route and no failures against it. They grow by calls only, are capped so that a late fault shows, and begin anew with each step. At the first share above it, a version that is not proven is rolled back before it reaches the limit. The limit comes from the settings. A move at the last share is done only if proven.

--- a/internal/move/comparison.go
+++ b/internal/move/comparison.go
@@ -186,14 +186,19 @@
 // version or all but one. In arrays of counts, index 0 is the old version and 1
 // the new one, as oldSide and newSide.
 type comparison struct {
-	lastSums   [2]counts // Sums at the previous call of observe.
-	total      [2]counts // Calls since the move started.
-	pending    [2]counts // Calls since the last bet on failures.
-	block      [2]counts // Calls since the last bet on slow responses.
-	blockStart time.Time // When block was last reset.
-	failing    wealth
-	slow       wealth
-	slowBucket int // The highest bucket that does not count as slow; -1 while unknown.
+	lastSums      [2]counts // Sums at the previous call of observe.
+	total         [2]counts // Calls since the move started.
+	pending       [2]counts // Calls since the last bet on failures.
+	block         [2]counts // Calls since the last bet on slow responses.
+	blockStart    time.Time // When block was last reset.
+	failing       wealth
+	slow          wealth
+	slowBucket    int        // The highest bucket that does not count as slow; -1 while unknown.
+	proof         odds       // Of not spoiling provenFraction.
+	badBase       recentBase // Failed and slow calls.
+	failedBase    recentBase
+	evidence      [2]counts // Calls since the last addition to the odds.
+	evidenceStart time.Time // When evidence was last reset.
 }
 
 func newComparison() *comparison { return &comparison{slowBucket: -1} }
@@ -210,6 +215,7 @@
 		c.total[i].merge(delta[i])
 		c.pending[i].merge(delta[i])
 		c.block[i].merge(delta[i])
+		c.evidence[i].merge(delta[i])
 	}
 	c.lastSums = sums
 	// With little traffic an interval may hold calls of only one version. They
@@ -226,6 +232,30 @@
 	return failing, slow
 }
 
+// addEvidence adds the calls since its last call to the odds of the new version. It
+// returns the gains: of the proof, in which a call is bad if it failed or was slow, and
+// of the suspicion, in which only failed calls are bad.
+func (c *comparison) addEvidence(now time.Time) (proof, suspicion float64) {
+	if now.Sub(c.evidenceStart) < evidenceInterval {
+		return 0, 0
+	}
+	bucket := callstats.Buckets // No response counts as slow while slowBucket is unknown.
+	if c.slowBucket >= 0 {
+		bucket = c.slowBucket + proofSlowBuckets
+	}
+	oldCalls, newCalls := c.evidence[oldSide], c.evidence[newSide]
+	_, oldSlow := oldCalls.responsesOver(bucket)
+	_, newSlow := newCalls.responsesOver(bucket)
+	c.badBase.add(now, oldCalls.calls, oldCalls.failed+oldSlow)
+	c.failedBase.add(now, oldCalls.calls, oldCalls.failed)
+	proof = oddsGain(newCalls.calls, newCalls.failed+newSlow, max(minBase, c.badBase.fraction()), provenFraction)
+	c.proof.add(proof)
+	base := c.failedBase.highest(now)
+	suspicion = oddsGain(newCalls.calls, newCalls.failed, base, max(minSuspectFraction, min(base, provenFraction)))
+	c.evidenceStart, c.evidence = now, [2]counts{}
+	return proof, suspicion
+}
+
 // endBlock places the bet on the slow responses of the block, if both versions
 // have responded, and starts the next block. What counts as slow is derived
 // from the calls before the block, so that the bet is fair.
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -41,6 +41,17 @@
 	// comparison of both versions at the same time, which is slower at large
 	// shares.
 	AlarmRate float64
+	// ExposedFraction and ExposedCalls limit the calls of a new version that is not
+	// proven to be as good as the old one: a fraction of the service's calls in the
+	// time of the move, plus a number of calls. The share stays below the fraction
+	// until the version is proven, and a move that reaches the limit without proof is
+	// rolled back. If ExposedFraction is 0, a version needs no proof: each step only
+	// needs that nothing speaks against the version.
+	ExposedFraction float64
+	ExposedCalls    int64
+	// HoldFraction is the fraction of the time up to the deadline for which the first
+	// share is held. 0 means that the steps are spread evenly.
+	HoldFraction float64
 }
 
 // DefaultSteps are the default shares of a move, in thousandths. Most are
@@ -95,8 +106,11 @@
 	// the calls of that host left out.
 	withoutHost    map[string]*group
 	alarm          alarm
-	stepStartCalls int64 // Calls of the new version when Decide was first called with the present share.
-	share          int   // The share at the last call of Decide; -1 before the first.
+	stepStartCalls int64     // Calls of the new version when Decide was first called with the present share.
+	stepStart      time.Time // When Decide was first called with the present share.
+	share          int       // The share at the last call of Decide; -1 before the first.
+	judged         *group    // The comparisons by which the version is judged: all, or those without a bad host.
+	proven         bool      // The new version has been proven at the present share.
 }
 
 // NewAnalyzer returns an analyzer without observations.
@@ -179,10 +193,10 @@
 	calls, failed := a.newVersionCalls()
 	d := Decision{State: config.MoveRunning, Share: m.Share, Reason: m.Reason, Touched: calls, Failed: failed}
 	if m.Share != a.share {
-		a.share = m.Share
-		a.stepStartCalls = calls
+		a.beginStep(now, m, calls)
 	}
 	result, reason := a.assess(a.threshold())
+	a.judge(now, result)
 	pastDeadline := !now.Before(m.By)
 	raised, alarmReason := a.alarm.raised(a.policy.AlarmRate)
 	switch {
@@ -192,6 +206,8 @@
 		return a.rollBack(d, reason)
 	case readySlots[newSide] == 0 && m.Share > 0:
 		return a.rollBack(d, "no upstream of the new version is left")
+	case a.isOverexposed(now, m, calls):
+		return a.rollBack(d, fmt.Sprintf("not proven within its limit of calls, by %d calls", calls))
 	case pastDeadline:
 		return a.atDeadline(now, d, m, deadlineAction)
 	case result == assessedUnclear:
@@ -206,6 +222,18 @@
 	}
 }
 
+// beginStep begins to judge the new version anew at the share of m.
+func (a *Analyzer) beginStep(now time.Time, m config.Move, calls int64) {
+	a.share = m.Share
+	a.stepStartCalls = calls
+	a.stepStart = now
+	a.proven = false
+	a.all.resetOdds()
+	for _, g := range a.withoutHost {
+		g.resetOdds()
+	}
+}
+
 // newVersionCalls returns the calls of the new version so far, and the failed
 // ones among them.
 func (a *Analyzer) newVersionCalls() (calls, failed int64) {
@@ -226,7 +254,7 @@
 // config.Service.Deadline, decides between completion and rollback.
 func (a *Analyzer) atDeadline(now time.Time, d Decision, m config.Move, deadlineAction string) Decision {
 	lastShare := a.policy.Steps[len(a.policy.Steps)-1]
-	if m.Share >= lastShare && a.soaked(now, m) {
+	if m.Share >= lastShare && a.soaked(now, m) && a.mayAdvance(m) {
 		return finish(d, "in time, and nothing speaks against the new version")
 	}
 	if deadlineAction == config.DeadlineRollBack {
@@ -254,7 +282,7 @@
 	schedule := a.schedule(now, m)
 	i := slices.IndexFunc(schedule.steps, func(share int) bool { return share > m.Share })
 	switch {
-	case i < 0 && !now.Before(timeAt(m, a.policy.DoneFraction)) && a.soaked(now, m):
+	case i < 0 && !now.Before(timeAt(m, a.policy.DoneFraction)) && a.soaked(now, m) && a.mayAdvance(m):
 		return finish(d, "in time, and nothing speaks against the new version")
 	case i < 0:
 		return d
@@ -265,7 +293,7 @@
 	case now.Before(schedule.dueTimes[i]):
 		return d
 	}
-	enoughCalls := d.Touched-a.stepStartCalls >= schedule.minCalls
+	enoughCalls := d.Touched-a.stepStartCalls >= schedule.minCalls && a.mayAdvance(m)
 	if !enoughCalls && !(deadlineAction == config.DeadlineFinish && now.After(schedule.dueTimes[i].Add(schedule.stepTimeout))) {
 		return d
 	}
--- a/internal/move/group.go
+++ b/internal/move/group.go
@@ -17,6 +17,10 @@
 	routes  map[string]*comparison
 	failing wealth // Over all routes.
 	slow    wealth // Over all routes.
+	// proof is the odds of not spoiling provenFraction of all calls, and suspicion those
+	// of not failing minSuspectFraction of them.
+	proof     odds
+	suspicion odds
 }
 
 func newGroup() *group { return &group{routes: map[string]*comparison{}} }
@@ -24,6 +28,7 @@
 // observe records the cumulative counts of both versions on each route at now.
 func (g *group) observe(now time.Time, sums map[string][2]counts) {
 	var failing, slow gains
+	proof, suspicion := 0.0, 0.0
 	for _, route := range slices.Sorted(maps.Keys(sums)) {
 		c := g.routes[route]
 		if c == nil {
@@ -32,7 +37,11 @@
 		}
 		f, s := c.observe(now, sums[route])
 		failing, slow = failing.plus(f), slow.plus(s)
+		proofGain, suspicionGain := c.addEvidence(now)
+		proof, suspicion = proof+proofGain, suspicion+suspicionGain
 	}
+	g.proof.add(proof)
+	g.suspicion.add(suspicion)
 	g.failing.add(failing, maxFailingGain)
 	g.slow.add(slow, maxSlowGain)
 }
@@ -77,3 +86,29 @@
 	}
 	return names
 }
+
+// resetOdds discards the evidence for the new version.
+func (g *group) resetOdds() {
+	g.proof, g.suspicion = 0, 0
+	for _, c := range g.routes {
+		c.proof = 0
+		c.evidence = [2]counts{}
+	}
+}
+
+// proven reports whether the new version is proven on all routes together and nothing
+// speaks against it, on any of them.
+func (g *group) proven() bool {
+	for _, c := range g.routes {
+		if c.proof < minRouteOdds {
+			return false
+		}
+	}
+	return float64(g.proof) >= proofThreshold && !g.suspected()
+}
+
+// suspected reports whether the failures of the new version speak against it.
+func (g *group) suspected() bool { return g.suspicion < minSuspicionOdds }
+
+// disproven reports whether the new version surely fails more calls than the old one.
+func (g *group) disproven() bool { return float64(g.suspicion) <= -proofThreshold }
--- a/internal/move/schedule.go
+++ b/internal/move/schedule.go
@@ -15,7 +15,7 @@
 }
 
 // schedule spreads the steps evenly over the ramp time, in which the share
-// rises. With little traffic it starts with a share large enough to collect the
+// rises, or over the part of it after Policy.HoldFraction. With little traffic it starts with a share large enough to collect the
 // required calls within a step, and requires fewer calls.
 func (a *Analyzer) schedule(now time.Time, m config.Move) schedule {
 	totalTime := m.By.Sub(m.Start)
@@ -28,12 +28,24 @@
 		s.steps = s.steps[firstStep:]
 	}
 	for i := range s.steps {
-		offset := float64(rampTime) * float64(i) / float64(max(1, len(s.steps)-1))
-		s.dueTimes = append(s.dueTimes, m.Start.Add(time.Duration(offset)))
+		s.dueTimes = append(s.dueTimes, m.Start.Add(a.stepOffset(i, len(s.steps), totalTime, rampTime)))
 	}
 	return s
 }
 
+// stepOffset returns how long after the start of a move step i of the given number is due.
+func (a *Analyzer) stepOffset(i, steps int, totalTime, rampTime time.Duration) time.Duration {
+	hold := time.Duration(a.policy.HoldFraction * float64(totalTime))
+	switch {
+	case i == 0:
+		return 0
+	case hold == 0:
+		return rampTime * time.Duration(i) / time.Duration(steps-1)
+	default:
+		return hold + (rampTime-hold)*time.Duration(i-1)/time.Duration(max(1, steps-2))
+	}
+}
+
 // firstFeasibleStep returns the index of the first step from which it and every
 // later step can collect minCalls calls of the new version, one step after the
 // other, out of expectedCalls calls of the service. The larger its share, the
