Quorum: a probe of a member's log carries no entries

Evidence: by reading, and by the test: 101 entries in each of five rounds before, none now.

Change: probes are empty; the entries follow the first match. Test: TestProbeCarriesNoEntries, seen to fail before.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -26,7 +26,8 @@
 	// probing is set while the last index at which the member's log matches is
 	// unknown. One append is then sent per round and next stays unchanged. If
 	// all later entries were sent too, the member would reject each of these
-	// messages, and each rejection would cause all of them to be sent again.
+	// messages, and each rejection would cause all of them to be sent again. The
+	// probe itself holds none.
 	probing   bool
 	probeSent bool // The probe of this round has been sent.
 }
--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -108,6 +108,36 @@
 	require.ErrorIs(t, err, quorum.ErrChangePending)
 }
 
+// A probe is sent in each round until the member has answered. With entries it was the
+// whole log, for each heartbeat.
+func TestProbeCarriesNoEntries(t *testing.T) {
+	c := newCore("a", quorum.InitialState{Members: threeVoters()})
+	electLeader(t, c)
+	for range 100 {
+		_, _, err := c.Propose([]byte("command"))
+		require.NoError(t, err)
+	}
+	c.TakeOutput()
+	now := startTime.Add(3 * election)
+	c.Step(now, quorum.Message{Kind: quorum.MessageAppendReply, From: "c", To: "a", Term: c.Term(), Round: 1, Reject: true, LogIndex: c.Last(), Hint: 0})
+	for range 5 {
+		c.StartRound(now)
+		for _, m := range c.TakeOutput().Messages {
+			if m.To == "c" {
+				require.Empty(t, m.Entries)
+			}
+		}
+	}
+	c.Step(now, quorum.Message{Kind: quorum.MessageAppendReply, From: "c", To: "a", Term: c.Term(), Round: 2, LogIndex: 0})
+	sent := 0
+	for _, m := range c.TakeOutput().Messages {
+		if m.To == "c" {
+			sent += len(m.Entries)
+		}
+	}
+	require.Equal(t, int(c.Last()), sent)
+}
+
 // A leader that has no contact with a quorum for an election timeout must step
 // down and must not confirm reads, since another leader may have been elected.
 func TestIsolatedLeaderStepsDown(t *testing.T) {
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -48,10 +48,12 @@
 	if !ok {
 		return false
 	}
-	entries := c.log.slice(p.next, c.config.BatchSize)
+	// A probe carries no entries: it is repeated in each round, and entries are large.
+	var entries []Entry
 	if p.probing {
 		p.probeSent = true
 	} else {
+		entries = c.log.slice(p.next, c.config.BatchSize)
 		p.next += Index(len(entries))
 	}
 	c.send(Message{
