Quorum: a replica that was held up itself does not judge the others at once

What callers saw: a leader stepped down in calm while configurations came quickly; orders that were in its log ended as unknown, and others found no leader for half a second.

Cause: a round of the consensus goroutine (applying and expanding a large configuration, on a small part of a core) took 150 to 680 ms on all replicas at once. The tick after it found no reply within the election timeout of 450 ms and stepped down, or campaigned, before it had handled the messages that had arrived meanwhile. A replica took its own pause for the silence of the others.

Change: queued messages are handled before each tick. After a gap of more than two heartbeat intervals between ticks silence does not count for half an election timeout; after four election timeouts it counts anyway. Nothing else depends on it: reads and commits need replies, and the age of the last contact that daemons get does not change.

Tests, seen to fail before: TestStalledLeaderDoesNotStepDownAtOnce, TestStalledFollower DoesNotCampaignAtOnce; TestOftenStalledLeaderStepsDown bounds it.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -59,6 +59,9 @@
 	output           Output               // What the next TakeOutput returns.
 
 	membersVersion uint64 // Returned by MembersVersion.
+
+	lastTick time.Time // When Tick was last called; zero before the first call.
+	stallEnd time.Time // When the last stall ended; see noteStall. Zero if there was none.
 }
 
 // InitialState is the synced state that a replica starts from. The zero value
@@ -169,19 +172,46 @@
 // Tick starts elections and heartbeats that are due at time now. Call it
 // several times per heartbeat interval.
 func (c *Core) Tick(now time.Time) {
+	c.noteStall(now)
 	if c.role == RoleLeader {
 		c.tickLeader(now)
 		return
 	}
-	if !now.Before(c.electionDeadline) && c.isVoter(c.config.ID) {
+	if !now.Before(c.electionDeadline) && c.isVoter(c.config.ID) && !c.toleratesSilence(now, c.leaderContact) {
 		c.campaign(now, true)
 	}
 }
 
+const (
+	// stallHeartbeats is the number of heartbeat intervals between two calls of Tick
+	// from which on this replica itself was held up.
+	stallHeartbeats = 2
+	// maxStalledElections is the number of election timeouts after which silence counts
+	// however often this replica was held up.
+	maxStalledElections = 4
+)
+
+// noteStall records that this replica was held up until now, if the last call of Tick is
+// long ago.
+func (c *Core) noteStall(now time.Time) {
+	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > stallHeartbeats*c.config.Heartbeat {
+		c.stallEnd = now
+	}
+	c.lastTick = now
+}
+
+// toleratesSilence reports whether a lack of messages since contact may be due to a stall
+// of this replica. Messages that have arrived meanwhile are still to be handled, and
+// replies to what it did not send are missing.
+func (c *Core) toleratesSilence(now, contact time.Time) bool {
+	return !c.stallEnd.IsZero() && now.Sub(c.stallEnd) < c.config.Election/2 && now.Sub(contact) < maxStalledElections*c.config.Election
+}
+
 // tickLeader steps down if the leader has had no contact with a quorum for an
 // election timeout, and otherwise starts a round when it is due.
 func (c *Core) tickLeader(now time.Time) {
-	if now.Sub(c.quorumContact(now)) >= c.config.Election {
+	contact := c.quorumContact(now)
+	if now.Sub(contact) >= c.config.Election && !c.toleratesSilence(now, contact) {
 		c.becomeFollower(c.hard.Term, "", now)
 		return
 	}
--- a/internal/source/consensus.go
+++ b/internal/source/consensus.go
@@ -107,8 +107,9 @@
 		case in := <-c.inputs.Out():
 			c.roundStart = c.node.config.Clock()
 			c.handle(in)
-			c.handleQueued()
 		}
+		// Also before a tick: silence counts only if no message waits.
+		c.handleQueued()
 		now := c.node.config.Clock()
 		c.core.Tick(now)
 		if !c.processOutput(stop) {
