--- a/internal/source/opengroup_test.go
+++ b/internal/source/opengroup_test.go
@@ -27,22 +27,30 @@
 	folders map[string]string       // Data folders by name.
 	version uint64                  // Version of the last accepted configuration.
 	sync    func(*os.File) error    // Of replicas that start; nil means (*os.File).Sync.
+	// write writes to the disk of the named replica; nil means (*os.File).Write.
+	write           func(name string, f *os.File, p []byte) (int, error)
+	snapshotEntries int // 0 means the default.
 }
 
 func newOpenGroup(t *testing.T, founderCount int) *openGroup {
 	g := &openGroup{t: t, nodes: map[string]*source.Node{}, folders: map[string]string{}}
+	g.found(founderCount)
+	return g
+}
+
+// found starts the founders of the group. They are stopped at the end of the test.
+func (g *openGroup) found(founderCount int) {
 	for range founderCount {
 		g.seeds = append(g.seeds, g.newMember())
 	}
 	for _, m := range g.seeds {
 		g.start(m, true)
 	}
-	t.Cleanup(func() {
+	g.t.Cleanup(func() {
 		for _, n := range g.nodes {
 			n.Stop()
 		}
 	})
-	return g
 }
 
 // newMember returns a member with an unused name, a free address and a data
@@ -58,10 +66,14 @@
 }
 
 func (g *openGroup) start(m source.Member, init bool) {
+	store := disk.Config{Folder: g.folders[m.Name], Sync: g.sync}
+	if g.write != nil {
+		store.Write = func(f *os.File, p []byte) (int, error) { return g.write(m.Name, f, p) }
+	}
 	n, err := source.Start(source.Config{
 		Name: m.Name, Zone: "z", Listen: m.Address, Founders: g.seeds, Voters: 3, Init: init,
-		Disk:   disk.Config{Folder: g.folders[m.Name], Sync: g.sync},
-		Timing: source.Timing{Heartbeat: 20 * time.Millisecond, Election: 200 * time.Millisecond},
+		Disk:   store,
+		Timing: source.Timing{Heartbeat: 20 * time.Millisecond, Election: 200 * time.Millisecond, SnapshotEntries: g.snapshotEntries},
 		Fatal:  func(err error) { g.t.Errorf("%s ended: %v", m.Name, err) },
 	})
 	require.NoError(g.t, err)
