Moves: a bad call on a rare route keeps no good version back; evidence is logged

Cause: a single call that fails on a route with few calls speaks against the version on that route, and is outweighed only by eight good ones there. With a dozen routes one of them has such a call most of the time.

Change: the odds at which a route speaks against the version fall by the number of routes.

--- a/internal/move/exposure.go
+++ b/internal/move/exposure.go
@@ -1,7 +1,10 @@
 package move
 
 import (
+	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/endivewalk/endivewalk/pkg/config"
@@ -72,3 +75,19 @@
 	foreseen := float64(calls) + perSecond*float64(m.Share)/config.FullShare*exposureDelay.Seconds()
 	return known && foreseen >= a.policy.ExposedFraction*expected+float64(a.policy.ExposedCalls)
 }
+
+// Evidence returns, for the log, the log odds by which Decide judges the new version: the
+// proof, the suspicion, and the proof on each route.
+func (a *Analyzer) Evidence() string {
+	g := a.judged
+	if g == nil {
+		g = a.all
+	}
+	parts := []string{fmt.Sprintf("proof %.1f suspicion %.1f proven %v", g.proof, g.suspicion, a.proven)}
+	for _, name := range slices.Sorted(maps.Keys(g.routes)) {
+		c := g.routes[name]
+		parts = append(parts, fmt.Sprintf("%s %.1f (%d new, %d old, base %.3f)", name, c.proof,
+			c.total[newSide].calls, c.total[oldSide].calls, c.badBase.fraction()))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/internal/move/group.go
+++ b/internal/move/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -97,10 +98,12 @@
 }
 
 // proven reports whether the new version is proven on all routes together and nothing
-// speaks against it, on any of them.
+// speaks against it, on any of them. The more routes there are, the more likely one of
+// them has a bad call by chance.
 func (g *group) proven() bool {
+	limit := odds(minRouteOdds - math.Log(float64(max(1, len(g.routes)))))
 	for _, c := range g.routes {
-		if c.proof < minRouteOdds {
+		if c.proof < limit {
 			return false
 		}
 	}
--- a/internal/move/proof.go
+++ b/internal/move/proof.go
@@ -17,8 +17,8 @@
 	// proofSlowBuckets is added to comparison.slowBucket. Responses in higher buckets are
 	// bad.
 	proofSlowBuckets = 1
-	// minRouteOdds is the log odds below which a route speaks against the version, and
-	// minSuspicionOdds the one below which its failures do.
+	// minRouteOdds is the log odds below which the only route speaks against the version,
+	// and minSuspicionOdds the one below which its failures do.
 	minRouteOdds     = -1
 	minSuspicionOdds = -2
 	// oddsHeadroom limits the log odds, as a multiple of what a proof needs, so that
--- a/internal/source/movecontroller.go
+++ b/internal/source/movecontroller.go
@@ -12,6 +12,7 @@
 
 const (
 	moveCheckInterval  = 100 * time.Millisecond
+	moveLogInterval    = time.Second     // Between two lines about the evidence on a running move.
 	stepTimeout        = 2 * time.Second // Timeout of one proposal of the controller.
 	controllerOperator = "endivewalk"    // Operator name of the commands that the controller proposes.
 )
@@ -21,6 +22,7 @@
 	analyzer        *move.Analyzer
 	start           time.Time
 	decidedRevision config.Revision // Revision of the move for which a step has been proposed, or 0.
+	loggedAt        time.Time       // When the evidence was last logged.
 }
 
 // runMoveController decides the steps of running moves while this replica leads,
@@ -72,6 +74,11 @@
 	service, _ := n.hub.State().Table().Service(m.Service)
 	analyzed.analyzer.Observe(now, m.Move, n.hub.CallStats(m.Service))
 	decision := analyzed.analyzer.Decide(now, m.Move, n.readySlots(m.Move), service.Deadline)
+	if now.Sub(analyzed.loggedAt) >= moveLogInterval {
+		analyzed.loggedAt = now
+		n.config.Logger.Log("msg", "evidence on a move", "service", m.Service, "to", m.To, "age", now.Sub(m.Start),
+			"share", m.Share, "calls", decision.Touched, "failed", decision.Failed, "evidence", analyzed.analyzer.Evidence())
+	}
 	if decision.State == m.State && decision.Share == m.Share && decision.Reason == m.Reason {
 		return
 	}
