Calls: a daemon that knows no others sends a new version its share only

Cause: without a ready upstream of the old version in its own view a daemon sent all calls to the new one. A daemon that has just started beside an upstream of the new version knows that one before it has the directory.

The choice is a function of the split, a random number and what is known. A fleet of one daemon no longer sends all calls to the new version when its last old upstream leaves.

--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -7,6 +7,7 @@
 	"github.com/endivewalk/endivewalk/internal/balance"
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/callstats"
+	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/feed"
 	"github.com/endivewalk/endivewalk/internal/upstream"
 	"github.com/endivewalk/endivewalk/pkg/config"
@@ -140,9 +141,7 @@
 }
 
 // pickVersion returns the version of the service that gets the call, and the
-// move in progress, if any. The share of the new version takes effect only while
-// that version has a ready upstream. If the old version has none and the share is
-// not 0, all calls go to the new version. Config.Blocked overrides both.
+// move in progress, if any. Config.Blocked overrides the share.
 func (p *Proxy) pickVersion(c *routedCall) (string, *config.Move) {
 	table := c.state.Table()
 	split := table.VersionSplit(c.service)
@@ -154,13 +153,24 @@
 		return split.From, &move
 	}
 	random := int(p.config.Random() * config.FullShare)
-	if random < split.Share && p.hasReadyUpstream(c.service, split.To) {
-		return split.To, &move
-	}
-	if !p.hasReadyUpstream(c.service, split.From) && split.Share > 0 {
-		return split.To, &move
+	isReady := func(version string) bool { return p.hasReadyUpstream(c.service, version) }
+	return chooseVersion(split, random, isReady, len(p.config.Hub.View().Live()) > 1), &move
+}
+
+// chooseVersion returns the version for a call. random is in [0, config.FullShare). The
+// share of the new version takes effect only while that version has a ready upstream. If
+// the old version has none and the share is not 0, all calls go to the new version, but
+// only if other daemons are known: a daemon that has just started knows the upstream
+// beside it before it knows the others.
+func chooseVersion(split expand.VersionSplit, random int, isReady func(version string) bool, othersKnown bool) string {
+	switch {
+	case random < split.Share && isReady(split.To):
+		return split.To
+	case split.Share > 0 && othersKnown && !isReady(split.From):
+		return split.To
+	default:
+		return split.From
 	}
-	return split.From, &move
 }
 
 func (p *Proxy) hasReadyUpstream(service, version string) bool {
