--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -66,6 +66,7 @@
 	mutex         sync.Mutex
 	directory     directory.Directory
 	callStats     callstats.Store
+	retainedFor   *State // The configuration by which RetainCallStats was last carried out.
 	children      map[string]child
 	siblings      map[string]child // Other source replicas, each with all daemons below it.
 	lastContact   time.Time        // Last contact with the source's leader, direct or through parents.
@@ -362,13 +363,17 @@
 }
 
 // RetainCallStats deletes the call statistics of moves that have ended, as far as the
-// configuration in force tells.
+// configuration in force tells. It does nothing until another one is in force.
 func (h *Hub) RetainCallStats() {
-	table := h.State().Table()
+	state := h.State()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	if h.retainedFor == state {
+		return
+	}
+	h.retainedFor = state
 	h.callStats.Retain(func(k callstats.Key) bool {
-		m, known := table.Move(k.Service)
+		m, known := state.Table().Move(k.Service)
 		return callstats.Needed(k, m, known)
 	})
 }
