--- a/internal/callstats/callstats_test.go
+++ b/internal/callstats/callstats_test.go
@@ -158,7 +158,7 @@
 }
 
 // The rows of a move that has ended are dropped, also from the sums. Those of a move that
-// this process has not heard of yet are kept: they are not sent again.
+// this process does not know yet are kept: they are not sent again.
 func TestRetainDropsRowsOfEndedMoves(t *testing.T) {
 	store, _ := fleet(2, 3)
 	retain := func(m config.Move) {
