Claims: a vote that arrives after its timeout is not read

What callers saw: nothing shown.

Cause: after a call without a reply requestVotes cleared the reply and sent a copy of it, while the late response could still be decoded into it (peer.Client.Call says so). A vote that counts as missing could count.

Change: an empty reply of its own is sent. Test: TestLateVoteIsNotRead, the race detector reports it before.

--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -103,7 +103,8 @@
 		go func() {
 			var reply TakeReply
 			if c.config.Call(address, "Claims.Take", args, &reply, timeout) != nil {
-				reply = TakeReply{}
+				replies <- TakeReply{} // A late response may still be written to reply.
+				return
 			}
 			replies <- reply
 		}()
