Claims: a test waits until the response is stored at a majority

What callers saw: nothing.

Cause: the test's premise. Complete returns at once; the test went on when one replica had the response, and disconnected the other, which may not have had it yet. Then the claim is pending there, and that is what the restarted replica copies.

Change: the test waits for the response at both replicas; the rest of it is unchanged. What the race showed has its own test, TestResponseLostWithItsReplicaIsNotExecutedAgain: the retry must hear "pending" and get no claim.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -101,6 +101,20 @@
 	return c.Acquire(g.clock().Add(time.Minute), key, digest)
 }
 
+// stores reports whether a replica has stored the response body to key.
+func (g *replicaGroup) stores(name, body string) bool {
+	var reply claim.CopyReply
+	if g.call(name, "", claim.CopyArgs{List: claim.ListDigest(g.names)}, &reply, 0) != nil {
+		return false
+	}
+	for _, c := range reply.Claims {
+		if c.Key == key {
+			return c.State == claim.StateCompleted && string(c.Answer.Body) == body
+		}
+	}
+	return false
+}
+
 func requireEventually(t *testing.T, condition string, met func() bool) {
 	t.Helper()
 	require.Eventually(t, met, 20*time.Second, time.Millisecond, condition)
@@ -199,7 +213,7 @@
 	grant, _, _ := g.acquire(g.newClient(), 1)
 	require.NotNil(t, grant)
 	grant.Complete(&claim.Response{Status: http.StatusOK, Body: []byte("booked")})
-	requireEventually(t, "the stored response", func() bool { _, stored, _ := g.acquire(g.newClient(), 1); return stored != nil })
+	requireEventually(t, "the stored response at both replicas", func() bool { return g.stores("a", "booked") && g.stores("b", "booked") })
 
 	a := g.start("a", false) // It has forgotten the claim.
 	g.setDown(false, "c")
@@ -217,6 +231,28 @@
 	require.Equal(t, "booked", string(stored.Body))
 }
 
+// If a response was stored at one replica only and that one restarts, a retry hears
+// that the claim is pending. It must not be executed again.
+func TestResponseLostWithItsReplicaIsNotExecutedAgain(t *testing.T) {
+	g := newReplicaGroup()
+	g.setDown(true, "c")
+	grant, _, _ := g.acquire(g.newClient(), 1)
+	require.NotNil(t, grant)
+	g.setDown(true, "b")
+	grant.Complete(&claim.Response{Status: http.StatusOK, Body: []byte("booked")})
+	requireEventually(t, "the stored response", func() bool { return g.stores("a", "booked") })
+
+	a := g.start("a", false)
+	g.setDown(false, "b", "c")
+	stop := make(chan struct{})
+	defer close(stop)
+	go a.Sync(g.names, "a", g.call, stop)
+	requireEventually(t, "replica a is complete", a.Complete)
+	g.setDown(true, "b")
+	_, _, callErr := g.acquire(g.newClient(), 1)
+	requireError(t, callErr, call.ExecutionUnknown, call.ReasonKeyPending)
+}
+
 // Claims copied from one other replica do not make a replica complete: a claim
 // may be stored only by the replica that is unreachable.
 func TestSyncNeedsMajority(t *testing.T) {
