Fleet: the test of a suspected host tells a faster probe from an ignored suspicion

What callers saw: nothing.

Cause, shown by delay only: a suspicion of a host that is already gone is ignored, as it should be, and between the crash and the suspicion a periodic probe of another daemon may have found the host.

Change: the count is checked after each suspicion. If the second is not counted, the record must be gone, and the host is restarted and crashed again. A false alarm about d1, or a suspicion that is ignored while the record lives, still fails.

--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/daemon"
 	"github.com/endivewalk/endivewalk/internal/fleet"
 	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/internal/standin"
@@ -187,14 +188,26 @@
 	t.Parallel()
 	f := startMesh(t, fleet.Config{}, 0)
 	d := f.Daemon("d0")
-	d.Suspect("d1")
-	f.StopDaemon("d2")
-	d.Suspect("d2")
-	eventually(t, "record of the crashed host as gone", func() bool {
-		r, ok := f.Daemon("d1").Hub().Record("d2")
+	suspected := func() int64 { return d.Counters().Get("hosts_suspected") }
+	isGone := func(observer *daemon.Daemon) bool {
+		r, ok := observer.Hub().Record("d2")
 		return ok && r.Gone
-	})
-	require.EqualValues(t, 2, d.Counters().Get("hosts_suspected"))
+	}
+	d.Suspect("d1")
+	require.EqualValues(t, 1, suspected())
+	for {
+		f.StopDaemon("d2")
+		d.Suspect("d2")
+		if suspected() == 2 {
+			break
+		}
+		// A periodic probe was faster. Only then is a suspicion ignored.
+		require.True(t, isGone(d))
+		restarted, err := f.StartDaemon("d2", zones[2])
+		require.NoError(t, err)
+		eventually(t, "readiness of the restarted daemon", func() bool { return restarted.Ready() && !isGone(d) })
+	}
+	eventually(t, "record of the crashed host as gone", func() bool { return isGone(f.Daemon("d1")) })
 	r, ok := d.Hub().Record("d1")
 	require.True(t, ok)
 	require.False(t, r.Gone)
