Feed: acknowledgements and the directory wake only those who wait for them

What callers saw: nothing by itself. At the start of a large deployment (281 daemons, replicas with 0.12 of a core) the source group is without a stable leader for seconds, and daemons serve nothing.

Cause, one of several: each change of a child's acknowledgement woke the pulls and the notices of all children, and each change of the directory their notices, which wait for a configuration only. At a start each daemon changes both several times.

Change: signals of their own for a new configuration and for acknowledgements.

--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -70,15 +70,17 @@
 	children      map[string]child
 	siblings      map[string]child // Other source replicas, each with all daemons below it.
 	lastContact   time.Time        // Last contact with the source's leader, direct or through parents.
-	changed       chan struct{}    // Closed and replaced by notify.
-	reported      chan struct{}    // Closed and replaced when call statistics change.
+	changed       signal           // Of the configuration, the directory and the minimum revision.
+	published     signal           // Of the configuration alone.
+	acknowledged  signal           // Of the children's acknowledgements.
+	reported      signal           // Of the call statistics.
 	fullTransfers fullLimiter
 	packs         packCache
 }
 
 // NewHub returns a hub with revision 0 in force and an empty directory.
 func NewHub(c HubConfig) *Hub {
-	h := &Hub{config: c, children: map[string]child{}, siblings: map[string]child{}, changed: make(chan struct{}), reported: make(chan struct{})}
+	h := &Hub{config: c, children: map[string]child{}, siblings: map[string]child{}}
 	var b expand.Builder
 	table, _ := b.Build(0, nil)
 	h.state.Store(&State{catalog: &catalog.Catalog{}, table: table})
@@ -125,7 +127,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.minRevision.Store(uint64(r) + 1)
-	h.notify()
+	h.changed.raise()
 }
 
 // View returns the upstreams of all live daemons. It is never nil.
@@ -140,31 +142,49 @@
 		return false
 	}
 	h.state.Store(&State{catalog: c, table: t})
-	h.notify()
+	h.published.raise()
+	h.changed.raise()
 	return true
 }
 
-// notify closes the channel that Changed returned. The caller must hold h.mutex.
-func (h *Hub) notify() {
-	close(h.changed)
-	h.changed = make(chan struct{})
-}
+// Changed returns a channel that is closed at the next change of the configuration, the
+// directory or the minimum revision. Each change wakes the pulls of all children, so what
+// they do not wait for has signals of its own.
+func (h *Hub) Changed() <-chan struct{} { return h.wait(&h.changed) }
 
-// Changed returns a channel that is closed at the next change of the
-// configuration, the directory, the minimum revision or a child's
-// acknowledgement. Call statistics change too often to wake those who wait for the
-// others; see Reported.
-func (h *Hub) Changed() <-chan struct{} {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.changed
-}
+// Published returns a channel that is closed when the next configuration is in force.
+func (h *Hub) Published() <-chan struct{} { return h.wait(&h.published) }
+
+// Acknowledged returns a channel that is closed at the next change of a child's
+// acknowledgement.
+func (h *Hub) Acknowledged() <-chan struct{} { return h.wait(&h.acknowledged) }
 
 // Reported returns a channel that is closed at the next change of the call statistics.
-func (h *Hub) Reported() <-chan struct{} {
+func (h *Hub) Reported() <-chan struct{} { return h.wait(&h.reported) }
+
+func (h *Hub) wait(s *signal) <-chan struct{} {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.reported
+	return s.wait()
+}
+
+// signal wakes those who wait for it. The zero value is ready to use. It is not safe for
+// concurrent use.
+type signal struct{ channel chan struct{} } // Nil if nobody waits.
+
+// wait returns a channel that the next call of raise closes.
+func (s *signal) wait() <-chan struct{} {
+	if s.channel == nil {
+		s.channel = make(chan struct{})
+	}
+	return s.channel
+}
+
+func (s *signal) raise() {
+	if s.channel != nil {
+		close(s.channel)
+		s.channel = nil
+	}
 }
 
 // SetLastContact records that t was the time of the last contact with the
@@ -213,7 +233,7 @@
 // hold h.mutex.
 func (h *Hub) refreshView() {
 	h.view.Store(newView(h.directory.Live()))
-	h.notify()
+	h.changed.raise()
 }
 
 // MarkGone marks a daemon as gone if incarnation is its current one, as
@@ -350,8 +370,7 @@
 		changed = h.callStats.Merge(from, r) || changed
 	}
 	if changed {
-		close(h.reported)
-		h.reported = make(chan struct{})
+		h.reported.raise()
 	}
 }
 
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -93,6 +93,9 @@
 // maxLaggards is how many of the daemons at the lowest revision an Ack names.
 const maxLaggards = 8
 
+// Covers reports whether a tells as much as b, apart from the names of hosts.
+func (a Ack) Covers(b Ack) bool { return a.Low == b.Low && a.Daemons == b.Daemons }
+
 // add returns the Ack for the daemons of a and b together.
 func (a Ack) add(b Ack) Ack {
 	switch {
--- a/internal/feed/report.go
+++ b/internal/feed/report.go
@@ -11,7 +11,7 @@
 func (c *Client) RunReport() {
 	var r reporter
 	for c.sleep(minReportInterval) {
-		changed, reported := c.hub.Changed(), c.hub.Reported()
+		changed, acknowledged, reported := c.hub.Changed(), c.hub.Acknowledged(), c.hub.Reported()
 		parent, since := c.currentParent()
 		if parent != r.parent {
 			// Records that the new parent lacks are found by reconciling. All call
@@ -25,6 +25,7 @@
 		select {
 		case <-c.stop:
 		case <-changed:
+		case <-acknowledged:
 		case <-reported:
 		case <-t.C:
 		}
--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -48,7 +48,7 @@
 // once, so that the child can choose another parent. It returns ErrBadMessage for
 // an invalid host name or a negative wait.
 func (s *Service) Pull(args PullArgs, reply *PullReply) error {
-	return s.await(args.Host, args.Wait, s.hub.untilStale, func() bool {
+	return s.await(args.Host, args.Wait, s.hub.Changed, s.hub.untilStale, func() bool {
 		*reply = s.hub.replyTo(s.clock(), args)
 		if reply.Delta != nil || reply.Busy > 0 || reply.Elsewhere {
 			s.hub.compress(reply)
@@ -67,17 +67,17 @@
 // Notice waits for a revision newer than the child has, at most for args.Wait. It
 // returns ErrBadMessage for an invalid host name or a negative wait.
 func (s *Service) Notice(args NoticeArgs, reply *NoticeReply) error {
-	return s.await(args.Host, args.Wait, nil, func() bool {
+	return s.await(args.Host, args.Wait, s.hub.Published, nil, func() bool {
 		reply.Revision = s.hub.State().Revision()
 		return reply.Revision > args.Have
 	})
 }
 
-// await calls poll at once and after each change of the hub, until it returns true
-// or wait is over. If untilStale is not nil, await also returns once the source
+// await calls poll at once and whenever the channel of changed is closed, until it returns
+// true or wait is over. If untilStale is not nil, await also returns once the source
 // contact has become stale during the call, after a last poll. untilStale returns
 // how long the contact stays fresh at least, or 0 if it is stale.
-func (s *Service) await(host string, wait time.Duration, untilStale func(now time.Time) time.Duration, poll func() bool) error {
+func (s *Service) await(host string, wait time.Duration, changed func() <-chan struct{}, untilStale func(now time.Time) time.Duration, poll func() bool) error {
 	if !config.ValidName(host) || wait < 0 {
 		s.hub.config.Counters.Add("feed_bad_messages", 1)
 		return ErrBadMessage
@@ -92,7 +92,7 @@
 		}
 	}
 	for {
-		wake := s.hub.Changed()
+		wake := changed()
 		if poll() {
 			return nil
 		}
@@ -181,14 +181,14 @@
 func (h *Hub) mergeReport(now time.Time, args ReportArgs) {
 	h.mutex.Lock()
 	old := h.children[args.Host]
-	changed := args.Leaving || old.ack.Low != args.Ack.Low || old.ack.Daemons != args.Ack.Daemons
+	changed := args.Leaving || !old.ack.Covers(args.Ack)
 	if args.Leaving {
 		delete(h.children, args.Host)
 	} else {
 		h.children[args.Host] = child{ack: args.Ack, lastReport: now}
 	}
 	if changed {
-		h.notify()
+		h.acknowledged.raise()
 	}
 	h.mutex.Unlock()
 	h.MergeRecords(now, args.Host, args.Records...)
--- a/internal/source/exchange.go
+++ b/internal/source/exchange.go
@@ -41,7 +41,7 @@
 func (n *Node) exchangeWith(l *link) {
 	s := &sibling{name: l.name, client: l.client}
 	for n.pause(minExchangeInterval) {
-		changed, reported := n.hub.Changed(), n.hub.Reported()
+		changed, acknowledged, reported := n.hub.Changed(), n.hub.Acknowledged(), n.hub.Reported()
 		n.exchangeOnce(s)
 		timer := time.NewTimer(maxExchangeInterval)
 		select {
@@ -50,6 +50,7 @@
 			timer.Stop()
 			return
 		case <-changed:
+		case <-acknowledged:
 		case <-reported:
 			n.pause(reportsDelay)
 		case <-timer.C:
--- a/internal/source/status.go
+++ b/internal/source/status.go
@@ -109,7 +109,7 @@
 // returns false at deadline or when the node stops.
 func (n *Node) WaitRevision(r config.Revision, deadline time.Time) bool {
 	for {
-		changed := n.hub.Changed()
+		changed := n.hub.Published()
 		if n.hub.State().Revision() >= r {
 			return true
 		}
