Feed: a daemon does not report what its parent has sent

Cause: each change of the directory made a daemon report to its parent, and a replica to the others, at most every 50 ms. What comes from the parent is left out, so most of these reports were empty: at a start each record goes to all daemons, and each of them answered with an empty report.

Change: a report without changes is sent once a second only, as before without any change.

Evidence: TestChangesOfParentAreNotReportedBack: 15 reports on 15 changes before, at most one after.

--- a/internal/feed/herd_test.go
+++ b/internal/feed/herd_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,6 +16,23 @@
 	return directory.Record{Host: host, Incarnation: 1, Sequence: 1, Zone: "z", Peer: "127.0.0.1:1", Gate: "127.0.0.1:2", Local: "127.0.0.1:3"}
 }
 
+// A daemon sent an empty report for each change that its parent had sent to it.
+func TestChangesOfParentAreNotReportedBack(t *testing.T) {
+	p := &reportedParent{instance: 7, partial: true}
+	hub, _ := runReporter(t, p)
+	require.Eventually(t, func() bool { return p.received.Load() > 0 }, waitTimeout, time.Millisecond)
+	start, before := time.Now(), p.received.Load()
+	for i := range 15 {
+		require.Len(t, hub.MergeRecords(time.Now(), p.address, newRecord(fmt.Sprint("other", i))), 1)
+		time.Sleep(60 * time.Millisecond)
+	}
+	withoutChanges := int64(time.Since(start)/time.Second) + 1
+	require.LessOrEqual(t, p.received.Load()-before, withoutChanges)
+
+	hub.MergeRecords(time.Now(), "child", newRecord("below"))
+	require.Eventually(t, func() bool { return p.records.Load() == 1 }, waitTimeout, time.Millisecond)
+}
+
 // closed reports whether a channel is closed.
 func closed(c <-chan struct{}) bool {
 	select {
--- a/internal/feed/report.go
+++ b/internal/feed/report.go
@@ -6,8 +6,8 @@
 	"github.com/endivewalk/endivewalk/internal/directory"
 )
 
-// RunReport reports changes at and below this daemon to the parent until Stop, at
-// least every maxReportInterval.
+// RunReport reports changes at and below this daemon to the parent until Stop, and without
+// changes every maxReportInterval.
 func (c *Client) RunReport() {
 	var r reporter
 	for c.sleep(minReportInterval) {
@@ -19,7 +19,7 @@
 			r = reporter{parent: parent, cursor: since}
 		}
 		if parent != "" {
-			c.reportOnce(&r)
+			c.reportOnce(c.config.Clock(), &r)
 		}
 		t := time.NewTimer(maxReportInterval)
 		select {
@@ -36,9 +36,17 @@
 // reporter is the state of the reports to one parent.
 type reporter struct {
 	parent   string
-	cursor   Cursor // Changes up to here have been reported.
-	instance uint64 // The parent's instance that has got the call statistics; 0 if none has.
-	partial  bool   // The parent merges partial reports of call statistics.
+	cursor   Cursor    // Changes up to here have been reported.
+	instance uint64    // The parent's instance that has got the call statistics; 0 if none has.
+	partial  bool      // The parent merges partial reports of call statistics.
+	ack      Ack       // In the last report.
+	sentAt   time.Time // Of the last report that succeeded; zero if none has.
+}
+
+// isDue reports whether a report is to be sent at now: one that tells something, or the
+// first one in maxReportInterval.
+func (r *reporter) isDue(now time.Time, args ReportArgs) bool {
+	return len(args.Records)+len(args.Reports) > 0 || !r.ack.Covers(args.Ack) || now.Sub(r.sentAt) >= maxReportInterval
 }
 
 // ReportFinal reports this daemon's own record to the parent at once, without the
@@ -56,14 +64,20 @@
 	}
 }
 
-// reportOnce reports what changed since the last report that succeeded.
-func (c *Client) reportOnce(r *reporter) {
+// reportOnce reports what changed since the last report that succeeded. Most changes are
+// those that the parent has sent, which it does not get back.
+func (c *Client) reportOnce(now time.Time, r *reporter) {
 	records, reports, next := c.hub.ChangesFor(r.parent, r.cursor, r.partial)
 	args := ReportArgs{Host: c.config.Host, Ack: c.hub.Ack(), Records: records, Reports: reports}
+	if !r.isDue(now, args) {
+		r.cursor = next
+		return
+	}
 	var reply ReportReply
 	if c.client(r.parent).Call("Feed.Report", args, &reply, reportTimeout) != nil {
 		return
 	}
+	r.ack, r.sentAt = args.Ack, now
 	r.cursor, r.partial = next, reply.Partial
 	if reply.Instance != r.instance {
 		// The parent has restarted, or this is the first report to it.
--- a/internal/feed/reports_test.go
+++ b/internal/feed/reports_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,11 +24,16 @@
 	partial  bool
 	reports  []callstats.Report
 	store    callstats.Store
+	address  string
+	received atomic.Int64 // Reports.
+	records  atomic.Int64 // Directory records in the reports.
 }
 
 func (p *reportedParent) Report(args feed.ReportArgs, reply *feed.ReportReply) error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.received.Add(1)
+	p.records.Add(int64(len(args.Records)))
 	for _, r := range args.Reports {
 		p.reports = append(p.reports, r)
 		p.store.Merge(args.Host, r)
@@ -58,9 +64,10 @@
 
 // runReporter runs a child that reports to p, and returns its hub and counter.
 func runReporter(t *testing.T, p *reportedParent) (*feed.Hub, *callstats.Counter) {
+	p.address = serve(t, p)
 	hub := feed.NewHub(feed.HubConfig{Host: "d", Instance: 1, Counters: &count.Set{}})
 	child := feed.NewClient(feed.ClientConfig{
-		Host: "d", Zone: "z", Sources: []string{serve(t, p)}, Clock: time.Now, Random: rand.Float64, Traffic: &peer.Traffic{},
+		Host: "d", Zone: "z", Sources: []string{p.address}, Clock: time.Now, Random: rand.Float64, Traffic: &peer.Traffic{},
 	}, hub)
 	var group sync.WaitGroup
 	group.Go(child.RunPull)
--- a/internal/source/exchange.go
+++ b/internal/source/exchange.go
@@ -24,6 +24,8 @@
 	instance     uint64      // The sibling's instance when the directories were last equal or repaired; another one means that it has restarted.
 	partial      bool        // The sibling merges partial reports of call statistics.
 	reportedTo   uint64      // The sibling's instance that has got the call statistics; 0 if none has.
+	ack          feed.Ack    // In the last exchange.
+	sentAt       time.Time   // Of the last successful exchange; zero if there was none.
 	differsSince time.Time   // When the two directories began to differ; zero while they are equal.
 }
 
@@ -42,7 +44,7 @@
 	s := &sibling{name: l.name, client: l.client}
 	for n.pause(minExchangeInterval) {
 		changed, acknowledged, reported := n.hub.Changed(), n.hub.Acknowledged(), n.hub.Reported()
-		n.exchangeOnce(s)
+		n.exchangeOnce(n.config.Clock(), s)
 		timer := time.NewTimer(maxExchangeInterval)
 		select {
 		case <-n.stop:
@@ -59,14 +61,20 @@
 	}
 }
 
-// exchangeOnce sends the changes since the last successful exchange.
-func (n *Node) exchangeOnce(s *sibling) {
+// exchangeOnce sends the changes since the last successful exchange, and without changes
+// every maxExchangeInterval. Most changes come from the other replicas.
+func (n *Node) exchangeOnce(now time.Time, s *sibling) {
 	records, reports, next := n.hub.ChangesFor(s.name, s.cursor, s.partial)
 	args := feed.ReportArgs{Host: n.config.Name, Ack: n.hub.Ack(), Records: records, Reports: reports, Zone: n.config.Zone}
+	if len(records)+len(reports) == 0 && s.ack.Covers(args.Ack) && now.Sub(s.sentAt) < maxExchangeInterval {
+		s.cursor = next
+		return
+	}
 	var reply ExchangeReply
 	if err := s.client.Call("Source.Exchange", args, &reply, exchangeTimeout); err != nil {
 		return
 	}
+	s.ack, s.sentAt = args.Ack, now
 	s.cursor, s.partial = next, reply.Partial
 	if reply.Instance != s.reportedTo {
 		if s.reportedTo != 0 {
