Feed: daemons that start wait for a leader at one replica

What callers saw: at the start of a large deployment and after a power loss of everything nothing is served until a quorum confirms the newest revision to each daemon.

Cause: a replica without a leader refused the question at once, and the daemon asked all replicas in turn, several times a second. 281 daemons sent some 300 such questions a second to each of three replicas with 0.12 of a core, which were busy with their election.

Change: the first question is answered at once, as before; from the second on it waits at the replica until there is a leader that can confirm the revision, for a second at most. An older replica ignores the wait and fails at once, as before.

--- a/internal/feed/herd_test.go
+++ b/internal/feed/herd_test.go
@@ -1,7 +1,11 @@
 package feed_test
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +14,7 @@
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/peer"
 )
 
 func newRecord(host string) directory.Record {
@@ -56,3 +61,33 @@
 	require.True(t, closed(changed))
 	require.False(t, closed(published))
 }
+
+// leaderlessSource is a source replica that knows no leader.
+type leaderlessSource struct{ asked *atomic.Int64 }
+
+func (s *leaderlessSource) Latest(args feed.LatestArgs, _ *feed.LatestReply) error {
+	s.asked.Add(1)
+	time.Sleep(args.Wait)
+	return errors.New("no leader")
+}
+
+// After a power loss of everything, each daemon asked all replicas several times a second
+// while they elected a leader.
+func TestLeaderlessReplicasAreRarelyAsked(t *testing.T) {
+	var asked atomic.Int64
+	var sources []string
+	for range 3 {
+		sources = append(sources, serve(t, &leaderlessSource{asked: &asked}))
+	}
+	hub := feed.NewHub(feed.HubConfig{Host: "d", Instance: 1, Counters: &count.Set{}})
+	c := feed.NewClient(feed.ClientConfig{
+		Host: "d", Zone: "z", Sources: sources, Clock: time.Now, Random: rand.Float64, Traffic: &peer.Traffic{},
+	}, hub)
+	var group sync.WaitGroup
+	group.Go(c.RunMinRevision)
+	time.Sleep(2500 * time.Millisecond)
+	c.Stop()
+	require.LessOrEqual(t, asked.Load(), int64(4))
+	require.False(t, hub.Ready())
+	group.Wait()
+}
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -115,8 +115,12 @@
 	return sum
 }
 
-// LatestArgs asks a source replica for the newest accepted revision.
-type LatestArgs struct{ Host string }
+// LatestArgs asks a source replica for the newest accepted revision. Wait is how long the
+// replica may wait until it knows a leader; an older build fails at once without one.
+type LatestArgs struct {
+	Host string
+	Wait time.Duration
+}
 
 // LatestReply holds a revision that a quorum of the source has confirmed: it
 // includes every change that was accepted before the call. Retired holds the newest
--- a/internal/feed/minrevision.go
+++ b/internal/feed/minrevision.go
@@ -1,15 +1,20 @@
 package feed
 
 import (
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/endivewalk/endivewalk/internal/directory"
+	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 const (
-	latestTimeout = time.Second
+	latestTimeout = time.Second // In addition to the wait for a leader.
+	// leaderWait is how long a source replica that knows no leader waits for one, unless
+	// this is the first question.
+	leaderWait = time.Second
 	// maxMinRevisionDelay is the maximum pause between two attempts to find the
 	// minimum revision. A daemon without one serves no calls.
 	maxMinRevisionDelay = 300 * time.Millisecond
@@ -37,7 +42,7 @@
 // called.
 func (c *Client) RunMinRevision() {
 	for attempt := 0; ; attempt++ {
-		latest, ok := c.askSources()
+		latest, ok := c.askSources(attempt)
 		if ok {
 			c.setRetirements(latest.Retired)
 			c.applyMinRevision(latest.Revision)
@@ -58,8 +63,8 @@
 // awaitRetirements asks the source for the retirements of this daemon's upstreams until
 // it can confirm them or Stop is called.
 func (c *Client) awaitRetirements() {
-	for attempt := 0; c.sleep(backoff(attempt, c.config.Random())); attempt++ {
-		if latest, ok := c.askSources(); ok {
+	for attempt := 1; c.sleep(backoff(attempt-1, c.config.Random())); attempt++ {
+		if latest, ok := c.askSources(attempt); ok {
 			c.setRetirements(latest.Retired)
 			return
 		}
@@ -74,13 +79,25 @@
 }
 
 // askSources returns the newest accepted revision, and the retirements of this daemon's
-// upstreams, from the first source replica that can confirm them.
-func (c *Client) askSources() (LatestReply, bool) {
-	for _, address := range c.sources() {
+// upstreams, from the first source replica that replies. Each attempt begins with another
+// replica. If one replies that it cannot confirm a revision, the others are not asked:
+// after a power loss of everything, all daemons would ask all replicas again and again,
+// which are busy with the election.
+func (c *Client) askSources(attempt int) (LatestReply, bool) {
+	sources := c.sources()
+	for i := range sources {
+		args := LatestArgs{Host: c.config.Host}
+		if attempt > 0 {
+			args.Wait = leaderWait
+		}
 		var reply LatestReply
-		if c.Call(address, "Feed.Latest", LatestArgs{Host: c.config.Host}, &reply, latestTimeout) == nil {
+		err := c.Call(sources[(attempt+i)%len(sources)], "Feed.Latest", args, &reply, args.Wait+latestTimeout)
+		if err == nil {
 			return reply, true
 		}
+		if !errors.Is(err, peer.ErrUnreachable) && !errors.Is(err, peer.ErrUnknown) {
+			break
+		}
 	}
 	return LatestReply{}, false
 }
--- a/internal/source/retire.go
+++ b/internal/source/retire.go
@@ -35,15 +35,44 @@
 	}
 }
 
+// maxLeaderWait limits how long a daemon's question waits for a leader.
+const maxLeaderWait = 2 * time.Second
+
 // latestFor returns the newest accepted revision and the retirements of the upstreams
 // beside the daemon on args.Host, all of those that were committed before the call.
-// Concurrent calls share the confirmation and one look at the state.
+// Concurrent calls share the confirmation and one look at the state. Without a leader that
+// can confirm them it waits for one as long as args.Wait.
 func (n *Node) latestFor(args feed.LatestArgs) (feed.LatestReply, error) {
-	confirmed, err := n.startConfirmations.do(n.confirmRetirements)
-	if err != nil {
-		return feed.LatestReply{}, err
+	deadline := n.config.Clock().Add(min(args.Wait, maxLeaderWait))
+	for {
+		n.awaitLeader(deadline.Sub(n.config.Clock()))
+		confirmed, err := n.startConfirmations.do(n.confirmRetirements)
+		if err == nil {
+			return feed.LatestReply{Revision: confirmed.revision, Retired: confirmed.retired[args.Host]}, nil
+		}
+		if n.config.Clock().Add(proposeRetryPause).After(deadline) || !n.pause(proposeRetryPause) {
+			return feed.LatestReply{}, err
+		}
+	}
+}
+
+// awaitLeader waits until this replica knows a leader, at most for d.
+func (n *Node) awaitLeader(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		leader, changed := n.currentLeader()
+		if leader != "" {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-n.stop:
+			return
+		}
 	}
-	return feed.LatestReply{Revision: confirmed.revision, Retired: confirmed.retired[args.Host]}, nil
 }
 
 // confirmRetirements returns the newest accepted revision, confirmed by a quorum, and the
