Move: a proof is taken back when the version's later calls speak against it

After it, only failures over all routes counted against the version (group.suspected, disproven), not slow calls and no single route, though the odds of the proof already fell to their lowest; and each step began without what had spoken against the version.

Change: a doubt, the odds of the proof with the high estimate of what the old version spoils, over all routes and on each. It holds back the next step, rolls an unproven version back at its limit of calls and, if as strong as a proof, a proven one; what speaks against a version outlasts a step.

--- a/internal/move/comparison.go
+++ b/internal/move/comparison.go
@@ -195,6 +195,7 @@
 	slow          wealth
 	slowBucket    int        // The highest bucket that does not count as slow; -1 while unknown.
 	proof         odds       // Of not spoiling provenFraction.
+	doubt         odds       // Like proof, with a high estimate of the old version's bad calls.
 	badBase       recentBase // Failed and slow calls.
 	failedBase    recentBase
 	evidence      [2]counts // Calls since the last addition to the odds.
@@ -233,11 +234,12 @@
 }
 
 // addEvidence adds the calls since its last call to the odds of the new version. It
-// returns the gains: of the proof, in which a call is bad if it failed or was slow, and
-// of the suspicion, in which only failed calls are bad.
-func (c *comparison) addEvidence(now time.Time) (proof, suspicion float64) {
+// returns the gains: of the proof, in which a call is bad if it failed or was slow, of the
+// doubt, which is the proof with a high estimate of the old version's bad calls, and of the
+// suspicion, in which only failed calls are bad.
+func (c *comparison) addEvidence(now time.Time) (proof, doubt, suspicion float64) {
 	if now.Sub(c.evidenceStart) < evidenceInterval {
-		return 0, 0
+		return 0, 0, 0
 	}
 	bucket := callstats.Buckets // No response counts as slow while slowBucket is unknown.
 	if c.slowBucket >= 0 {
@@ -250,10 +252,12 @@
 	c.failedBase.add(now, oldCalls.calls, oldCalls.failed)
 	proof = oddsGain(newCalls.calls, newCalls.failed+newSlow, max(minBase, c.badBase.fraction()), provenFraction)
 	c.proof.add(proof)
+	doubt = oddsGain(newCalls.calls, newCalls.failed+newSlow, max(minBase, c.badBase.highest(now)), provenFraction)
+	c.doubt.addDoubt(doubt)
 	base := c.failedBase.highest(now)
 	suspicion = oddsGain(newCalls.calls, newCalls.failed, base, max(minSuspectFraction, min(base, provenFraction)))
 	c.evidenceStart, c.evidence = now, [2]counts{}
-	return proof, suspicion
+	return proof, doubt, suspicion
 }
 
 // endBlock places the bet on the slow responses of the block, if both versions
--- a/internal/move/exposure.go
+++ b/internal/move/exposure.go
@@ -83,10 +83,10 @@
 	if g == nil {
 		g = a.all
 	}
-	parts := []string{fmt.Sprintf("proof %.1f suspicion %.1f proven %v", g.proof, g.suspicion, a.proven)}
+	parts := []string{fmt.Sprintf("proof %.1f doubt %.1f suspicion %.1f proven %v", g.proof, g.doubt, g.suspicion, a.proven)}
 	for _, name := range slices.Sorted(maps.Keys(g.routes)) {
 		c := g.routes[name]
-		parts = append(parts, fmt.Sprintf("%s %.1f (%d new, %d old, base %.3f)", name, c.proof,
+		parts = append(parts, fmt.Sprintf("%s %.1f doubt %.1f (%d new, %d old, base %.3f)", name, c.proof, c.doubt,
 			c.total[newSide].calls, c.total[oldSide].calls, c.badBase.fraction()))
 	}
 	return strings.Join(parts, ", ")
--- a/internal/move/group.go
+++ b/internal/move/group.go
@@ -18,9 +18,10 @@
 	routes  map[string]*comparison
 	failing wealth // Over all routes.
 	slow    wealth // Over all routes.
-	// proof is the odds of not spoiling provenFraction of all calls, and suspicion those
-	// of not failing minSuspectFraction of them.
+	// proof and doubt are the odds of not spoiling provenFraction of all calls, and
+	// suspicion those of not failing minSuspectFraction of them. A doubt takes a proof back.
 	proof     odds
+	doubt     odds
 	suspicion odds
 }
 
@@ -29,7 +30,7 @@
 // observe records the cumulative counts of both versions on each route at now.
 func (g *group) observe(now time.Time, sums map[string][2]counts) {
 	var failing, slow gains
-	proof, suspicion := 0.0, 0.0
+	proof, doubt, suspicion := 0.0, 0.0, 0.0
 	for _, route := range slices.Sorted(maps.Keys(sums)) {
 		c := g.routes[route]
 		if c == nil {
@@ -38,10 +39,11 @@
 		}
 		f, s := c.observe(now, sums[route])
 		failing, slow = failing.plus(f), slow.plus(s)
-		proofGain, suspicionGain := c.addEvidence(now)
-		proof, suspicion = proof+proofGain, suspicion+suspicionGain
+		proofGain, doubtGain, suspicionGain := c.addEvidence(now)
+		proof, doubt, suspicion = proof+proofGain, doubt+doubtGain, suspicion+suspicionGain
 	}
 	g.proof.add(proof)
+	g.doubt.addDoubt(doubt)
 	g.suspicion.add(suspicion)
 	g.failing.add(failing, maxFailingGain)
 	g.slow.add(slow, maxSlowGain)
@@ -88,20 +90,25 @@
 	return names
 }
 
-// resetOdds discards the evidence for the new version.
+// resetOdds discards the evidence for the new version, and keeps what speaks against it.
 func (g *group) resetOdds() {
-	g.proof, g.suspicion = 0, 0
+	g.proof, g.doubt, g.suspicion = 0, min(g.doubt, 0), 0
 	for _, c := range g.routes {
-		c.proof = 0
+		c.proof, c.doubt = 0, min(c.doubt, 0)
 		c.evidence = [2]counts{}
 	}
 }
 
+// routeLimit returns a limit for the odds of each route, given that of a single one. The
+// more routes there are, the more likely one of them has a bad call by chance.
+func (g *group) routeLimit(limit float64) odds {
+	return odds(limit - math.Log(float64(max(1, len(g.routes)))))
+}
+
 // proven reports whether the new version is proven on all routes together and nothing
-// speaks against it, on any of them. The more routes there are, the more likely one of
-// them has a bad call by chance.
+// speaks against it, on any of them.
 func (g *group) proven() bool {
-	limit := odds(minRouteOdds - math.Log(float64(max(1, len(g.routes)))))
+	limit := g.routeLimit(minRouteOdds)
 	for _, c := range g.routes {
 		if c.proof < limit {
 			return false
@@ -110,8 +117,23 @@
 	return float64(g.proof) >= proofThreshold && !g.suspected()
 }
 
-// suspected reports whether the failures of the new version speak against it.
-func (g *group) suspected() bool { return g.suspicion < minSuspicionOdds }
+// suspected reports whether the failures of the new version, or its bad calls on a route,
+// speak against it.
+func (g *group) suspected() bool {
+	return g.suspicion < minSuspicionOdds || g.lowestDoubt() < g.routeLimit(minDoubtOdds)
+}
+
+// disproven reports whether the new version surely fails more calls than the old one, or
+// spoils more of them, on a route or on all together.
+func (g *group) disproven() bool {
+	return float64(min(g.suspicion, g.doubt)) <= -proofThreshold || g.lowestDoubt() <= g.routeLimit(-proofThreshold)
+}
 
-// disproven reports whether the new version surely fails more calls than the old one.
-func (g *group) disproven() bool { return float64(g.suspicion) <= -proofThreshold }
+// lowestDoubt returns the lowest odds of a doubt of any route.
+func (g *group) lowestDoubt() odds {
+	lowest := odds(0)
+	for _, c := range g.routes {
+		lowest = min(lowest, c.doubt)
+	}
+	return lowest
+}
--- a/internal/move/proof.go
+++ b/internal/move/proof.go
@@ -24,6 +24,10 @@
 	// oddsHeadroom limits the log odds, as a multiple of what a proof needs, so that
 	// good calls of the past do not hide a fault that begins late.
 	oddsHeadroom = 1.3
+	// doubtDepth limits the log odds against a version likewise.
+	doubtDepth = 3
+	// minDoubtOdds is the log odds below which a proven version is not given more calls.
+	minDoubtOdds = -2
 	// baseWindow is how far back the old version's calls are looked at, and onsetWindow
 	// how far for a fault that has just begun.
 	baseWindow  = 3 * time.Second
@@ -59,6 +63,11 @@
 	*o = odds(max(-limit, min(float64(*o)+gain, limit)))
 }
 
+// addDoubt adds a gain of a doubt.
+func (o *odds) addDoubt(gain float64) {
+	*o = odds(max(-doubtDepth*proofThreshold, min(float64(*o)+gain, oddsHeadroom*proofThreshold)))
+}
+
 // recentBase is the recent fraction of bad calls of the old version.
 type recentBase struct {
 	samples []baseSample // Oldest first.
