--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -231,8 +231,8 @@
 	require.Equal(t, "booked", string(stored.Body))
 }
 
-// If a response was stored at one replica only and that one restarts, a retry hears
-// that the claim is pending. It must not be executed again.
+// If a response was stored at one replica only and that one restarts, a retry fails
+// because the claim is pending. It must not be executed again.
 func TestResponseLostWithItsReplicaIsNotExecutedAgain(t *testing.T) {
 	g := newReplicaGroup()
 	g.setDown(true, "c")
