--- a/internal/caller/logging.go
+++ b/internal/caller/logging.go
@@ -9,6 +9,7 @@
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/feed"
 	"github.com/endivewalk/endivewalk/internal/logs"
+	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/internal/upstream"
 )
 
@@ -25,13 +26,13 @@
 func (p *Proxy) logRejected(r *http.Request, info CallInfo, c *routedCall, start time.Time, callErr *call.Error) {
 	now := p.config.Clock()
 	p.config.Counters.Add("calls_refused_"+string(callErr.Reason), 1)
-	route, service := "", ""
+	route, service, choice := "", "", move.Reason("")
 	if c != nil {
-		route, service = c.route.Name(), c.service
+		route, service, choice = c.route.Name(), c.service, c.choice
 		p.config.Counters.Observe("call_refused", "reason", string(callErr.Reason), now.Sub(start))
 	}
 	p.config.CallLog.Log(logs.ClassRefusal, "msg", "call rejected", "id", info.ID, "host", r.Host, "path", r.URL.Path,
-		"route", route, "service", service, "run", callErr.Execution, "reason", callErr.Reason, "took", now.Sub(start),
+		"route", route, "service", service, "choice", choice, "run", callErr.Execution, "reason", callErr.Reason, "took", now.Sub(start),
 		"patience", info.Timeout, "retryAfter", callErr.RetryAfter, "load", callErr.Load,
 		"revision", p.config.Hub.State().Revision(), "version", p.config.Hub.State().Table().Fleet().Version)
 }
@@ -50,7 +51,7 @@
 		return
 	}
 	p.config.CallLog.Log(class, "msg", "call answered", "id", c.id, "route", c.route.Name(), "service", c.service,
-		"status", response.Status, "took", duration, "upstream", response.Duration, "load", response.Load,
+		"choice", c.choice, "status", response.Status, "took", duration, "upstream", response.Duration, "load", response.Load,
 		"revision", c.state.Revision())
 }
 
--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -21,6 +21,7 @@
 	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/feed"
 	"github.com/endivewalk/endivewalk/internal/logs"
+	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/internal/upstream"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
@@ -108,8 +109,9 @@
 	body     *callBody
 	caller   string // The service beside whose daemon the caller runs.
 	urgency  call.Urgency
-	parent   *Parent // Set if a local upstream makes the call while it executes another one.
-	id       string  // The ID of the caller's attempt.
+	parent   *Parent     // Set if a local upstream makes the call while it executes another one.
+	id       string      // The ID of the caller's attempt.
+	choice   move.Reason // Why the call was given its version; empty without a running move.
 }
 
 // ServeHTTP routes a call by its team, method and path, and writes the response
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -7,8 +7,8 @@
 	"github.com/endivewalk/endivewalk/internal/balance"
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/callstats"
-	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/feed"
+	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/internal/upstream"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
@@ -44,7 +44,7 @@
 // further retry is allowed. The error is a *call.Error.
 func (p *Proxy) serveCall(c *routedCall) (*upstream.Response, error) {
 	p.retries.deposit(c.service, p.config.Retries.Ratio, p.retryBurst())
-	version, move := p.pickVersion(c)
+	version, running := p.pickVersion(c)
 	tried := map[string]bool{}
 	callErr := call.NotExecutedError(call.ReasonNoUpstream)
 	var fallback *upstream.Response // The latest response that led to a retry.
@@ -64,7 +64,7 @@
 		if err == nil && isRoutedByHost(c.route) && bufferResponse(response) != nil {
 			err = call.UnknownError(call.ReasonBroken)
 		}
-		p.recordAttempt(c, now, target, move, response, err)
+		p.recordAttempt(c, now, target, running, response, err)
 		c.urgency.Retry = true
 		if err == nil {
 			count.attempts++
@@ -148,30 +148,23 @@
 	if split.To == "" {
 		return split.From, nil
 	}
-	move, _ := table.Move(c.service)
-	if p.config.Blocked(move) {
-		return split.From, &move
+	running, _ := table.Move(c.service)
+	if p.config.Blocked(running) {
+		return split.From, &running
 	}
-	random := int(p.config.Random() * config.FullShare)
-	isReady := func(version string) bool { return p.hasReadyUpstream(c.service, version) }
-	return chooseVersion(split, random, isReady, len(p.config.Hub.View().Live()) > 1), &move
+	version, reason := move.Choose(running, int(p.config.Random()*config.FullShare), move.Knowledge{
+		OldReady:    p.hasReadyUpstream(c.service, running.From),
+		NewReady:    p.hasReadyUpstream(c.service, running.To),
+		OthersKnown: len(p.config.Hub.View().Live()) > 1,
+	})
+	p.config.Counters.Add(ChoiceCounter(reason), 1)
+	c.choice = reason
+	return version, &running
 }
 
-// chooseVersion returns the version for a call. random is in [0, config.FullShare). The
-// share of the new version takes effect only while that version has a ready upstream. If
-// the old version has none and the share is not 0, all calls go to the new version, but
-// only if other daemons are known: a daemon that has just started knows the upstream
-// beside it before it knows the others.
-func chooseVersion(split expand.VersionSplit, random int, isReady func(version string) bool, othersKnown bool) string {
-	switch {
-	case random < split.Share && isReady(split.To):
-		return split.To
-	case split.Share > 0 && othersKnown && !isReady(split.From):
-		return split.To
-	default:
-		return split.From
-	}
-}
+// ChoiceCounter returns the name of the counter of calls that got their version for a
+// reason.
+func ChoiceCounter(r move.Reason) string { return "calls_by_choice_" + string(r) }
 
 func (p *Proxy) hasReadyUpstream(service, version string) bool {
 	for _, t := range p.config.Hub.View().Targets(service, version) {
@@ -261,7 +254,7 @@
 // recordAttempt reports the outcome of an attempt to the balancer, and to the
 // call statistics if a move is in progress. For a call made by a local upstream
 // it also reports the admission rate to the inbound proxy of this daemon.
-func (p *Proxy) recordAttempt(c *routedCall, start time.Time, t feed.Target, move *config.Move, response *upstream.Response, err error) {
+func (p *Proxy) recordAttempt(c *routedCall, start time.Time, t feed.Target, running *config.Move, response *upstream.Response, err error) {
 	now := p.config.Clock()
 	result := balance.Result{Route: c.route.Name(), Returning: c.elapsed > 0}
 	failed := false
@@ -291,11 +284,11 @@
 	if c.parent != nil && result.Load.Granted > 0 {
 		p.config.Inbound.ReportAdmission(now, c.parent.Upstream, c.parent.Route, float64(result.Load.Granted)/config.FullShare)
 	}
-	if move == nil || (err != nil && !failed) {
+	if running == nil || (err != nil && !failed) {
 		return
 	}
 	key := callstats.Key{
-		Service: t.Service, Move: move.Start.UnixMilli(), Version: t.Version,
+		Service: t.Service, Move: running.Start.UnixMilli(), Version: t.Version,
 		Route: c.route.Name(), Host: t.Host,
 	}
 	warm := now.Sub(t.Since) >= warmUpTime
--- a/internal/daemon/breaker.go
+++ b/internal/daemon/breaker.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/caller"
 	"github.com/endivewalk/endivewalk/internal/event"
 	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/pkg/config"
@@ -15,6 +16,9 @@
 	// defaultReportInterval is the time between two reports of a daemon's call
 	// statistics. It limits the control traffic.
 	defaultReportInterval = time.Second
+	// choiceLogInterval is the time between two lines about the choice of versions while
+	// a move is running.
+	choiceLogInterval = time.Second
 )
 
 // breakers holds the open circuit breakers of moves: the moves whose new version
@@ -57,6 +61,7 @@
 // daemon stops.
 func (d *Daemon) runBreakers() {
 	analyzers := map[string]localAnalyzer{}
+	var logged [len(choiceReasons)]int64
 	for round := 0; d.pause(breakerInterval); round++ {
 		running := d.runningMoves()
 		d.callStats.Retain(func(service string) bool { _, ok := running[service]; return ok })
@@ -69,6 +74,9 @@
 		if round%max(1, int(d.config.ReportInterval/breakerInterval)) == 0 {
 			d.hub.MergeCallStats("", report)
 		}
+		if round%int(choiceLogInterval/breakerInterval) == 0 {
+			logged = d.logChoices(logged)
+		}
 		for service, m := range running {
 			a, ok := analyzers[service]
 			if !ok || !a.start.Equal(m.Start) {
@@ -81,6 +89,24 @@
 	}
 }
 
+// choiceReasons are the reasons that logChoices counts.
+var choiceReasons = [...]move.Reason{move.ReasonShare, move.ReasonRest, move.ReasonNewGone, move.ReasonOldGone, move.ReasonNotKnown}
+
+// logChoices logs how many calls got their version for which reason since this process
+// started, unless the counts are those of the previous line. It returns the counts.
+func (d *Daemon) logChoices(logged [len(choiceReasons)]int64) [len(choiceReasons)]int64 {
+	var counts [len(choiceReasons)]int64
+	line := []any{"msg", "calls by choice of version"}
+	for i, reason := range choiceReasons {
+		counts[i] = d.config.Counters.Get(caller.ChoiceCounter(reason))
+		line = append(line, string(reason), counts[i])
+	}
+	if counts != logged {
+		d.config.Logger.Log(line...)
+	}
+	return counts
+}
+
 // checkBreaker opens the breaker of m if the new version has regressed.
 func (d *Daemon) checkBreaker(m config.Move, a *move.Analyzer) {
 	regressed, reason := a.Regressed()
