--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -43,6 +43,8 @@
 	// Blocked reports whether the circuit breaker of this daemon has stopped
 	// calls to the new version of a move.
 	Blocked func(m config.Move) bool
+	// Moves is the policy by which new versions get calls while a move is running.
+	Moves move.Policy
 	// Claims acquires the claims of calls with an idempotency key whose route
 	// is not retryable. If it is nil, keys are only forwarded to the upstream.
 	Claims  *claim.Client
@@ -65,6 +67,7 @@
 	connPools      *connPools
 	fullServices   fullServices
 	routeBytes     routeBytes
+	exposure       *move.Exposure
 	prunedView     atomic.Pointer[feed.View] // The latest argument of PruneConnections.
 }
 
@@ -73,7 +76,10 @@
 func New(c Config) *Proxy {
 	c.Retries = c.Retries.withDefaults()
 	c.Balance.Zone = c.Zone
-	return &Proxy{config: c, balancer: balance.New(c.Balance), connPools: newConnPools(c.Clock, c.Counters)}
+	return &Proxy{
+		config: c, balancer: balance.New(c.Balance), connPools: newConnPools(c.Clock, c.Counters),
+		exposure: move.NewExposure(c.Moves, c.Random),
+	}
 }
 
 // Close closes the idle connections to other daemons.
@@ -112,6 +118,7 @@
 	parent   *Parent     // Set if a local upstream makes the call while it executes another one.
 	id       string      // The ID of the caller's attempt.
 	choice   move.Reason // Why the call was given its version; empty without a running move.
+	reached  bool        // An attempt has reached an upstream.
 }
 
 // ServeHTTP routes a call by its team, method and path, and writes the response
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -44,7 +44,7 @@
 // further retry is allowed. The error is a *call.Error.
 func (p *Proxy) serveCall(c *routedCall) (*upstream.Response, error) {
 	p.retries.deposit(c.service, p.config.Retries.Ratio, p.retryBurst())
-	version, running := p.pickVersion(c)
+	version, running := p.pickVersion(p.config.Clock(), c)
 	tried := map[string]bool{}
 	callErr := call.NotExecutedError(call.ReasonNoUpstream)
 	var fallback *upstream.Response // The latest response that led to a retry.
@@ -56,6 +56,7 @@
 		}
 		target, ok := p.pickTarget(now, c, version, tried, count.fullQueues > 0)
 		if !ok {
+			p.recordUnsent(running, version)
 			return fallbackOr(fallback, p.noTarget(now, c, version, tried, callErr))
 		}
 		tried[target.Host+"/"+target.ID] = true
@@ -75,6 +76,9 @@
 			p.logRetry(c, target, p.config.Clock(), response.Status, false)
 			fallback.Discard()
 			fallback = response
+			if version, ok = p.versionForRetry(p.config.Clock(), running, version); !ok {
+				return fallback, nil
+			}
 			continue
 		}
 		callErr = mergeErrors(callErr, call.AsError(err))
@@ -90,10 +94,20 @@
 		if !p.isFreeRetry(c, callErr) && !p.withdrawRetry(c) {
 			return fallbackOr(fallback, callErr)
 		}
+		if version, ok = p.versionForRetry(p.config.Clock(), running, version); !ok {
+			return fallbackOr(fallback, callErr)
+		}
 		p.logRetry(c, target, p.config.Clock(), callErr.Reason, callErr.Unresponsive)
 	}
 }
 
+// recordUnsent records that a call that was given a version found no upstream of it.
+func (p *Proxy) recordUnsent(running *config.Move, version string) {
+	if running != nil {
+		p.exposure.Record(*running, version, false, false)
+	}
+}
+
 // fallbackOr returns the response of an upstream that led to a retry, if there
 // is one, rather than an error: the call was executed, whatever the outcome of
 // later attempts.
@@ -142,7 +156,7 @@
 
 // pickVersion returns the version of the service that gets the call, and the
 // move in progress, if any. Config.Blocked overrides the share.
-func (p *Proxy) pickVersion(c *routedCall) (string, *config.Move) {
+func (p *Proxy) pickVersion(now time.Time, c *routedCall) (string, *config.Move) {
 	table := c.state.Table()
 	split := table.VersionSplit(c.service)
 	if split.To == "" {
@@ -152,16 +166,31 @@
 	if p.config.Blocked(running) {
 		return split.From, &running
 	}
-	version, reason := move.Choose(running, int(p.config.Random()*config.FullShare), move.Knowledge{
-		OldReady:    p.hasReadyUpstream(c.service, running.From),
-		NewReady:    p.hasReadyUpstream(c.service, running.To),
-		OthersKnown: len(p.config.Hub.View().Live()) > 1,
-	})
+	version, reason := p.exposure.Choose(now, running, p.knowledge(running))
 	p.config.Counters.Add(ChoiceCounter(reason), 1)
 	c.choice = reason
 	return version, &running
 }
 
+// versionForRetry returns the version for another attempt at a call that was sent to
+// version, and false if it must not be attempted again.
+func (p *Proxy) versionForRetry(now time.Time, running *config.Move, version string) (string, bool) {
+	if running == nil {
+		return version, true
+	}
+	return p.exposure.Again(now, *running, p.knowledge(*running), version)
+}
+
+// knowledge returns what this daemon knows during a move.
+func (p *Proxy) knowledge(running config.Move) move.Knowledge {
+	return move.Knowledge{
+		OldReady:    p.hasReadyUpstream(running.Service, running.From),
+		NewReady:    p.hasReadyUpstream(running.Service, running.To),
+		OthersKnown: len(p.config.Hub.View().Live()) > 1,
+		Contact:     p.config.Hub.ConfirmedAt(),
+	}
+}
+
 // ChoiceCounter returns the name of the counter of calls that got their version for a
 // reason.
 func ChoiceCounter(r move.Reason) string { return "calls_by_choice_" + string(r) }
@@ -284,7 +313,13 @@
 	if c.parent != nil && result.Load.Granted > 0 {
 		p.config.Inbound.ReportAdmission(now, c.parent.Upstream, c.parent.Route, float64(result.Load.Granted)/config.FullShare)
 	}
-	if running == nil || (err != nil && !failed) {
+	if running == nil {
+		return
+	}
+	reached := callErr == nil || callErr.Execution != call.NotExecuted || callErr.FromUpstream
+	p.exposure.Record(*running, t.Version, reached, !c.reached)
+	c.reached = c.reached || reached
+	if err != nil && !failed {
 		return
 	}
 	key := callstats.Key{
--- a/internal/daemon/breaker.go
+++ b/internal/daemon/breaker.go
@@ -61,7 +61,7 @@
 // daemon stops.
 func (d *Daemon) runBreakers() {
 	analyzers := map[string]localAnalyzer{}
-	var logged [len(choiceReasons)]int64
+	logged := int64(0)
 	for round := 0; d.pause(breakerInterval); round++ {
 		running := d.runningMoves()
 		d.callStats.Retain(func(service string) bool { _, ok := running[service]; return ok })
@@ -89,22 +89,20 @@
 	}
 }
 
-// choiceReasons are the reasons that logChoices counts.
-var choiceReasons = [...]move.Reason{move.ReasonShare, move.ReasonRest, move.ReasonNewGone, move.ReasonOldGone, move.ReasonNotKnown}
-
 // logChoices logs how many calls got their version for which reason since this process
-// started, unless the counts are those of the previous line. It returns the counts.
-func (d *Daemon) logChoices(logged [len(choiceReasons)]int64) [len(choiceReasons)]int64 {
-	var counts [len(choiceReasons)]int64
+// started, unless these are as many as in the previous line. It returns the number.
+func (d *Daemon) logChoices(logged int64) int64 {
+	sum := int64(0)
 	line := []any{"msg", "calls by choice of version"}
-	for i, reason := range choiceReasons {
-		counts[i] = d.config.Counters.Get(caller.ChoiceCounter(reason))
-		line = append(line, string(reason), counts[i])
+	for _, reason := range move.Reasons() {
+		n := d.config.Counters.Get(caller.ChoiceCounter(reason))
+		line = append(line, string(reason), n)
+		sum += n
 	}
-	if counts != logged {
+	if sum != logged {
 		d.config.Logger.Log(line...)
 	}
-	return counts
+	return sum
 }
 
 // checkBreaker opens the breaker of m if the new version has regressed.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,7 +84,7 @@
 	d.outbound = caller.New(caller.Config{
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Random: c.Random, Ready: d.hub.Ready,
 		Hub: d.hub, Inbound: d.inbound, CallStats: d.callStats, Counters: c.Counters,
-		TakeQuota: d.takeQuota, Blocked: d.breakers.open, Claims: d.newClaimClient(incarnation),
+		TakeQuota: d.takeQuota, Blocked: d.breakers.open, Moves: c.Policy, Claims: d.newClaimClient(incarnation),
 		Retries: c.Retries, Balance: c.Balance, CallLog: c.CallLog, OnUnresponsive: d.Suspect,
 	})
 	if err := d.listen(); err != nil {
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -268,6 +268,9 @@
 	if delta != nil && !c.apply(*delta) {
 		return rejectedDelay, nil
 	}
+	if reply.Busy == 0 && !c.wantsFull() {
+		c.hub.setConfirmedAt(now.Add(-reply.Age))
+	}
 	if err := c.repair(now, address, known, reply.Digest); err != nil {
 		c.parentInstance = 0 // Treat the next reply as the first, which repairs again.
 		return 0, err
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -69,6 +69,7 @@
 	retainedFor   *State // The configuration by which RetainCallStats was last carried out.
 	children      map[string]child
 	siblings      map[string]child // Other source replicas, each with all daemons below it.
+	confirmedAt   time.Time        // See ConfirmedAt.
 	lastContact   time.Time        // Last contact with the source's leader, direct or through parents.
 	changed       signal           // Of the configuration, the directory and the minimum revision.
 	published     signal           // Of the configuration alone.
@@ -204,6 +205,25 @@
 	return h.lastContact
 }
 
+// setConfirmedAt records that the configuration in force was the parent's newest one when
+// the parent's last contact with the source's leader was at t. An earlier time than the
+// recorded one is ignored.
+func (h *Hub) setConfirmedAt(t time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if t.After(h.confirmedAt) {
+		h.confirmedAt = t
+	}
+}
+
+// ConfirmedAt returns a time at which the configuration in force was the newest one of the
+// source's leader, as far as the daemon's parents tell. It is zero on source replicas.
+func (h *Hub) ConfirmedAt() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.confirmedAt
+}
+
 // MergeRecords merges directory records from another process, or this process's
 // own if from is "". It returns those that were newer than the stored ones.
 func (h *Hub) MergeRecords(now time.Time, from string, records ...directory.Record) []directory.Record {
