--- a/internal/callstats/store.go
+++ b/internal/callstats/store.go
@@ -7,12 +7,13 @@
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
-// Store holds the newest rows of each daemon, and their sums. The zero value is empty and
-// ready to use. It is not safe for concurrent use.
+// Store holds the newest rows of each daemon, and their sums, in which the rows of its
+// earlier incarnations stay. The zero value is empty and ready to use. It is not safe for
+// concurrent use.
 type Store struct {
 	origins   map[string]*origin
-	sums      map[Key]*Row
-	lastIndex uint64 // Number of changes of rows, and of incarnations.
+	sums      map[Key]*Row // Of all incarnations.
+	lastIndex uint64       // Number of changes of rows, and of incarnations.
 }
 
 // origin holds the rows of one daemon.
@@ -32,8 +33,8 @@
 }
 
 // Merge merges a report and reports whether it held anything new. A report of a newer
-// incarnation replaces everything of its origin, and so does one of the same incarnation
-// unless it is partial or older. The report must be valid. from is the host of the process
+// incarnation replaces everything of its origin but its part of the sums. One of the same
+// incarnation replaces everything unless it is partial or older. The report must be valid. from is the host of the process
 // that sent it; "" stands for this process.
 func (s *Store) Merge(from string, r Report) bool {
 	if s.origins == nil {
@@ -43,7 +44,6 @@
 	before := s.lastIndex
 	switch {
 	case o == nil || r.Incarnation > o.incarnation:
-		s.drop(o, func(Key) bool { return false })
 		o = &origin{incarnation: r.Incarnation, rows: map[Key]*storedRow{}}
 		s.origins[r.Origin] = o
 		s.lastIndex++
@@ -99,11 +99,8 @@
 	stored.row, stored.index = row, s.lastIndex
 }
 
-// drop deletes the rows of o, which may be nil, for which keep returns false.
+// drop deletes the rows of o for which keep returns false.
 func (s *Store) drop(o *origin, keep func(Key) bool) {
-	if o == nil {
-		return
-	}
 	for k, stored := range o.rows {
 		if keep(k) {
 			continue
@@ -159,6 +156,11 @@
 	for _, o := range s.origins {
 		s.drop(o, keep)
 	}
+	for k := range s.sums {
+		if !keep(k) {
+			delete(s.sums, k)
+		}
+	}
 }
 
 // Needed reports whether rows with the key k may still be needed, given the newest move of
@@ -168,8 +170,9 @@
 	return !known || k.Move > start || k.Move == start && newest.State == config.MoveRunning
 }
 
-// RowsOf returns the rows of a service, summed over the daemons that made the calls and
-// sorted by version, route and host.
+// RowsOf returns the rows of a service, summed over the daemons that made the calls, their
+// earlier incarnations included, and sorted by version, route and host. Without Retain,
+// the counts never fall.
 func (s *Store) RowsOf(service string) []Row {
 	rows := make([]Row, 0, len(s.sums))
 	for _, sum := range s.sums {
