--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -192,6 +192,9 @@
 func (a *Analyzer) Decide(now time.Time, m config.Move, readySlots [2]int, deadlineAction string) Decision {
 	calls, failed := a.newVersionCalls()
 	d := Decision{State: config.MoveRunning, Share: m.Share, Reason: m.Reason, Touched: calls, Failed: failed}
+	if a.share < 0 && strings.HasPrefix(m.Reason, waitsPrefix) {
+		a.all.distrust()
+	}
 	if m.Share != a.share {
 		a.beginStep(now, m, calls)
 	}
@@ -211,17 +214,24 @@
 	case pastDeadline:
 		return a.atDeadline(now, d, m, deadlineAction)
 	case result == assessedUnclear:
-		// Each change of the reason is stored as a revision, so the reason is
-		// set only once.
-		if !strings.HasPrefix(m.Reason, waitsPrefix) {
-			d.Reason = reason
-		}
-		return d
+		return wait(d, m, reason)
+	case !a.isExposed(m) && m.Share > 0 && a.policy.ExposedFraction > 0 && a.judged.disproven():
+		return wait(d, m, waitsPrefix+" for proof: the calls of the new version speak against it")
 	default:
 		return a.advance(now, d, m, readySlots, deadlineAction, reason)
 	}
 }
 
+// wait returns d with a reason for which the share waits. Each change of the reason is
+// stored as a revision, so the reason is set only once. An analyzer that begins later, after
+// an election, learns from it that something speaks against the version.
+func wait(d Decision, m config.Move, reason string) Decision {
+	if !strings.HasPrefix(m.Reason, waitsPrefix) {
+		d.Reason = reason
+	}
+	return d
+}
+
 // beginStep begins to judge the new version anew at the share of m.
 func (a *Analyzer) beginStep(now time.Time, m config.Move, calls int64) {
 	a.share = m.Share
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -263,3 +263,27 @@
 	bad, reason = observeHosts(3, 2).Regressed()
 	require.False(t, bad, reason)
 }
+
+// A new leader forgot that the calls of the new version spoke against it, and took the next
+// step after a few good calls.
+func TestElectionKeepsDoubtsOfVersion(t *testing.T) {
+	policy := limited
+	policy.MinCalls, policy.FalsePositiveRate = 8, 1e-12 // The comparison alone does not end the move.
+	m := exposedMove(90)
+	observe := func(a *move.Analyzer, from time.Duration, calls, failed int64) move.Decision {
+		var d move.Decision
+		for i := range int64(6) {
+			now := start.Add(from + time.Duration(i)*300*time.Millisecond)
+			a.Observe(now, m, []callstats.Row{row("v1", "r", "a", 100*i, 0), row("v2", "r", "b", calls*i, failed*i)})
+			d = a.Decide(now, m, readySlots, config.DeadlineRollBack)
+		}
+		return d
+	}
+	good := func() int { return observe(move.NewAnalyzer(policy), 8*time.Second, 3, 0).Share }
+	require.Equal(t, 500, good(), "good calls alone")
+	d := observe(move.NewAnalyzer(policy), 2*time.Second, 2, 1)
+	require.Equal(t, config.MoveRunning, d.State)
+	require.Contains(t, d.Reason, "waits")
+	m.Reason = d.Reason
+	require.Equal(t, 90, good(), "as many good calls after an election")
+}
--- a/internal/move/group.go
+++ b/internal/move/group.go
@@ -23,6 +23,7 @@
 	proof     odds
 	doubt     odds
 	suspicion odds
+	prior     odds // At which the proof begins.
 }
 
 func newGroup() *group { return &group{routes: map[string]*comparison{}} }
@@ -92,13 +93,16 @@
 
 // resetOdds discards the evidence for the new version, and keeps what speaks against it.
 func (g *group) resetOdds() {
-	g.proof, g.doubt, g.suspicion = 0, min(g.doubt, 0), 0
+	g.proof, g.doubt, g.suspicion = g.prior, min(g.doubt, 0), 0
 	for _, c := range g.routes {
 		c.proof, c.doubt = 0, min(c.doubt, 0)
 		c.evidence = [2]counts{}
 	}
 }
 
+// distrust begins with odds against the new version.
+func (g *group) distrust() { g.prior = odds(-proofThreshold) }
+
 // routeLimit returns a limit for the odds of each route, given that of a single one. The
 // more routes there are, the more likely one of them has a bad call by chance.
 func (g *group) routeLimit(limit float64) odds {
