--- a/internal/move/allowance.go
+++ b/internal/move/allowance.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,33 +22,40 @@
 	permissionTime = 3 * time.Second
 )
 
-// trialStep returns the first share above ExposedFraction, at which a version is proven
-// under load, and false if there is none.
-func (p Policy) trialStep() (int, bool) {
-	limit := int(p.ExposedFraction * config.FullShare)
-	i := slices.IndexFunc(p.Steps, func(share int) bool { return share > limit })
-	if limit == 0 || i < 0 {
-		return 0, false
-	}
-	return p.Steps[i], true
+// isExposed reports whether a share is above ExposedFraction.
+func (p Policy) isExposed(share int) bool {
+	return float64(share) > p.ExposedFraction*config.FullShare
+}
+
+// isProven reports whether a version at a share has passed its trial, which is the last step
+// but one: the last step is above the limit and is taken only with a proof under the load
+// of the step before.
+func (p Policy) isProven(share int) bool {
+	return p.isExposed(share) && share >= p.Steps[len(p.Steps)-1]
+}
+
+// hasTrial reports whether a step above ExposedFraction precedes the last one.
+func (p Policy) hasTrial() bool {
+	return len(p.Steps) > 1 && p.isExposed(p.Steps[len(p.Steps)-2])
 }
 
 // allowance returns how many of the given calls, which have reached a service since the
-// start of the move m, its new version may have got at now without a proof. It is
+// start of the move m, its new version may have got at now without being proven. It is
 // proportional to the calls: the allowances of all daemons, each for its own calls, add up
-// to that of the fleet. The new version of a move beyond trialStep is proven and needs no
-// allowance.
+// to that of the fleet. Above ExposedFraction it includes most of the calls foreseen up to
+// the deadline.
 func (p Policy) allowance(now time.Time, m config.Move, calls float64) float64 {
 	fraction := p.ExposedFraction
-	if trial, ok := p.trialStep(); ok && m.Share == trial {
-		passed := max(now.Sub(m.Start).Seconds(), p.HoldFraction*m.By.Sub(m.Start).Seconds(), 1)
-		foreseen := max(0, m.By.Sub(m.Start).Seconds()/passed-1)
-		fraction *= 1 + foreseenFraction*foreseen
-		// The calls of the new version at the first step tell those of the service.
-		if m.Touched > 0 {
-			callsAtStep := float64(m.Touched) * config.FullShare / float64(p.Steps[0])
-			fraction += min(p.ExposedFraction, trialCallsFraction*float64(p.ExposedCalls)/callsAtStep)
-		}
+	if !p.isExposed(m.Share) {
+		return fraction * calls
+	}
+	length := m.By.Sub(m.Start).Seconds()
+	passed := max(now.Sub(m.Start).Seconds(), p.HoldFraction*length, 1)
+	fraction *= 1 + foreseenFraction*max(0, length/passed-1)
+	// The calls of the new version, most of them at the first step, tell those of the service.
+	if m.Touched > 0 {
+		callsAtStep := float64(m.Touched) * config.FullShare / float64(p.Steps[0])
+		fraction += min(p.ExposedFraction, trialCallsFraction*float64(p.ExposedCalls)/callsAtStep)
 	}
 	return fraction * calls
 }
@@ -150,8 +156,7 @@
 // allows reports whether the new version may get one more call. The caller must hold
 // e.mutex.
 func (e *Exposure) allows(now time.Time, m config.Move, k Knowledge, x *exposedMove) bool {
-	trial, limited := e.policy.trialStep()
-	if !limited || m.Share > trial && now.Sub(k.Contact) <= permissionTime {
+	if e.policy.ExposedFraction == 0 || e.policy.isProven(m.Share) && now.Sub(k.Contact) <= permissionTime {
 		return true
 	}
 	return x.sent+1 <= x.offset+e.policy.allowance(now, m, x.reached)
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -44,8 +44,9 @@
 	// ExposedFraction and ExposedCalls limit the calls of a new version that is not
 	// proven to be as good as the old one: a fraction of the service's calls in the
 	// time of the move, plus a number of calls. The share stays below the fraction
-	// until the version is proven, and a move that reaches the limit without proof is
-	// rolled back. If ExposedFraction is 0, a version needs no proof: each step only
+	// until the version is proven. At the steps above it but the last, it must be
+	// proven again under load, and gets no more calls than the limit leaves. A move
+	// that reaches the limit without proof is rolled back. If ExposedFraction is 0, a version needs no proof: each step only
 	// needs that nothing speaks against the version.
 	ExposedFraction float64
 	ExposedCalls    int64
@@ -215,7 +216,7 @@
 		return a.atDeadline(now, d, m, deadlineAction)
 	case result == assessedUnclear:
 		return wait(d, m, reason)
-	case !a.isExposed(m) && m.Share > 0 && a.policy.ExposedFraction > 0 && a.judged.disproven():
+	case !a.policy.isExposed(m.Share) && m.Share > 0 && a.policy.ExposedFraction > 0 && a.judged.disproven():
 		return wait(d, m, waitsPrefix+" for proof: the calls of the new version speak against it")
 	default:
 		return a.advance(now, d, m, readySlots, deadlineAction, reason)
@@ -237,7 +238,8 @@
 	a.share = m.Share
 	a.stepStartCalls = calls
 	a.stepStart = now
-	a.proven = false
+	// The last trial has proven the version for what follows it.
+	a.proven = a.policy.hasTrial() && a.policy.isProven(m.Share)
 	a.all.resetOdds()
 	for _, g := range a.withoutHost {
 		g.resetOdds()
--- a/internal/move/exposure.go
+++ b/internal/move/exposure.go
@@ -17,9 +17,14 @@
 	// minProofTime is how long a share must be in effect before the version can be
 	// proven at it, because slow calls are counted late.
 	minProofTime = 1200 * time.Millisecond
-	// maxVerdictTime is how long a share may be in effect without enough calls for a
-	// verdict on the version.
-	maxVerdictTime = 2500 * time.Millisecond
+	// minVerdictTime is how long a version may remain at a trial step when its calls there
+	// are used up and it is not proven, and maxVerdictTime how long if more speaks for it
+	// than against it.
+	minVerdictTime = 2500 * time.Millisecond
+	maxVerdictTime = 4500 * time.Millisecond
+	// usedUpFraction is the fraction of an allowance that counts as used up: daemons use
+	// up their parts one after the other, and report them late.
+	usedUpFraction = 0.9
 	// verdictCalls is the number of calls at a share that are enough for a verdict.
 	verdictCalls = 25
 )
@@ -36,12 +41,6 @@
 	a.proven = a.proven || now.Sub(a.stepStart) >= minProofTime && a.judged.proven()
 }
 
-// isExposed reports whether the new version has a larger share than
-// Policy.ExposedFraction.
-func (a *Analyzer) isExposed(m config.Move) bool {
-	return float64(m.Share) > a.policy.ExposedFraction*config.FullShare
-}
-
 // mayAdvance reports whether the evidence allows the next step. At a share above
 // Policy.ExposedFraction the version must have been proven once and not be suspected
 // since.
@@ -49,7 +48,7 @@
 	if a.policy.ExposedFraction == 0 {
 		return true
 	}
-	if a.isExposed(m) {
+	if a.policy.isExposed(m.Share) {
 		return a.proven && !a.judged.suspected()
 	}
 	return a.judged.proven()
@@ -57,22 +56,33 @@
 
 // isOverexposed reports whether the new version has got, or will have got before a
 // rollback is in force, as many calls as the policy allows a version that is not proven,
-// and either has not been proven at the first share above Policy.ExposedFraction, or is
-// disproven since.
+// and either has not been proven at a trial step, or is disproven since.
 func (a *Analyzer) isOverexposed(now time.Time, m config.Move, calls int64) bool {
-	limit := int(a.policy.ExposedFraction * config.FullShare)
-	first := slices.IndexFunc(a.policy.Steps, func(share int) bool { return share > limit })
-	if limit == 0 || first < 0 || m.Share < a.policy.Steps[first] {
+	if a.policy.ExposedFraction == 0 || !a.policy.isExposed(m.Share) {
 		return false
 	}
-	unproven := m.Share == a.policy.Steps[first] && (!a.proven || a.judged.suspected()) &&
-		(calls-a.stepStartCalls >= verdictCalls || now.Sub(a.stepStart) >= maxVerdictTime)
+	trial := !a.policy.isProven(m.Share)
+	unproven := trial && (!a.proven || a.judged.suspected())
 	if !unproven && !a.judged.disproven() {
 		return false
 	}
+	verdictTime := minVerdictTime
+	if a.judged.proof > 0 {
+		verdictTime = maxVerdictTime
+	}
+	if unproven && calls-a.stepStartCalls >= verdictCalls && now.Sub(a.stepStart) >= verdictTime {
+		sum := a.all.total(allRoutes)
+		allowance := a.policy.allowance(now, m, float64(sum[oldSide].calls+sum[newSide].calls))
+		if float64(calls) >= usedUpFraction*allowance {
+			return true
+		}
+	}
 	expected, known := a.expectedCalls(now, m)
-	perSecond := expected / m.By.Sub(m.Start).Seconds()
-	foreseen := float64(calls) + perSecond*float64(m.Share)/config.FullShare*exposureDelay.Seconds()
+	foreseen := float64(calls)
+	if !trial { // At a trial, the daemons do not go on beyond the allowance.
+		perSecond := expected / m.By.Sub(m.Start).Seconds()
+		foreseen += perSecond * float64(m.Share) / config.FullShare * exposureDelay.Seconds()
+	}
 	return known && foreseen >= a.policy.ExposedFraction*expected+float64(a.policy.ExposedCalls)
 }
 
