--- a/internal/move/allowance.go
+++ b/internal/move/allowance.go
@@ -15,7 +15,7 @@
 	foreseenFraction = 0.8
 	// trialCallsFraction is the fraction of Policy.ExposedCalls that may be used while a
 	// version is being proven. The rest is a reserve for calls that are lost from counts.
-	trialCallsFraction = 0.4
+	trialCallsFraction = 0.6
 	// permissionTime is how long after its last contact with the source's leader a daemon
 	// may send a proven version more calls than an unproven one. It bounds the calls that
 	// a daemon out of touch sends to a version that has been rolled back.
@@ -52,10 +52,11 @@
 	length := m.By.Sub(m.Start).Seconds()
 	passed := max(now.Sub(m.Start).Seconds(), p.HoldFraction*length, 1)
 	fraction *= 1 + foreseenFraction*max(0, length/passed-1)
-	// The calls of the new version, most of them at the first step, tell those of the service.
+	// When the step was taken, the calls of the new version at the first step told those of
+	// the service, which have grown with the time since.
 	if m.Touched > 0 {
-		callsAtStep := float64(m.Touched) * config.FullShare / float64(p.Steps[0])
-		fraction += min(p.ExposedFraction, trialCallsFraction*float64(p.ExposedCalls)/callsAtStep)
+		callsNow := float64(m.Touched) * config.FullShare / float64(p.Steps[0]) * passed / max(m.Since.Sub(m.Start).Seconds(), 1)
+		fraction += min(p.ExposedFraction, trialCallsFraction*float64(p.ExposedCalls)/callsNow)
 	}
 	return fraction * calls
 }
