--- a/internal/move/comparison.go
+++ b/internal/move/comparison.go
@@ -198,6 +198,9 @@
 	doubt         odds       // Like proof, with a high estimate of the old version's bad calls.
 	badBase       recentBase // Failed and slow calls.
 	failedBase    recentBase
+	spoiled       [2]tally  // Calls whose evidence has been added to the odds.
+	failed        [2]tally  // Like spoiled, but only failed calls are bad, and calls without a duration count.
+	unexposed     reference // What was added before the first share above the limit; zero until then.
 	evidence      [2]counts // Calls since the last addition to the odds.
 	evidenceStart time.Time // When evidence was last reset.
 }
@@ -237,7 +240,10 @@
 // returns the gains: of the proof, in which a call is bad if it failed or was slow, of the
 // doubt, which is the proof with a high estimate of the old version's bad calls, and of the
 // suspicion, in which only failed calls are bad.
-func (c *comparison) addEvidence(now time.Time) (proof, doubt, suspicion float64) {
+//
+// If the new version got less than the fraction minShare of the calls, good calls count for
+// nothing: a fault that appears under load would not show.
+func (c *comparison) addEvidence(now time.Time, minShare float64) (proof, doubt, suspicion float64) {
 	if now.Sub(c.evidenceStart) < evidenceInterval {
 		return 0, 0, 0
 	}
@@ -250,14 +256,23 @@
 	newResponses, newSlow := newCalls.responsesOver(bucket)
 	// Calls without a duration may have been slow.
 	oldTimed, newTimed := oldResponses+oldCalls.failed, newResponses+newCalls.failed
-	c.badBase.add(now, oldTimed, oldCalls.failed+oldSlow)
+	oldBad, newBad := oldCalls.failed+oldSlow, newCalls.failed+newSlow
+	c.badBase.add(now, oldTimed, oldBad)
 	c.failedBase.add(now, oldCalls.calls, oldCalls.failed)
-	proof = oddsGain(newTimed, newCalls.failed+newSlow, max(minBase, c.badBase.fraction()), provenFraction)
+	c.spoiled[oldSide].add(oldTimed, oldBad)
+	c.spoiled[newSide].add(newTimed, newBad)
+	c.failed[oldSide].add(oldCalls.calls, oldCalls.failed)
+	c.failed[newSide].add(newCalls.calls, newCalls.failed)
+	expected := c.unexposed.spoiled
+	proof = oddsGain(newTimed, newBad, max(minBase, expectedBad(expected, c.badBase.fraction())), provenFraction)
+	doubt = oddsGain(newTimed, newBad, max(minBase, expectedBad(expected, c.badBase.highest(now))), provenFraction)
+	base := expectedBad(c.unexposed.failed, c.failedBase.highest(now))
+	suspicion = oddsGain(newCalls.calls, newCalls.failed, base, max(minSuspectFraction, min(base, provenFraction)))
+	if float64(newCalls.calls) < minShare*float64(newCalls.calls+oldCalls.calls) {
+		proof, doubt, suspicion = min(proof, 0), min(doubt, 0), min(suspicion, 0)
+	}
 	c.proof.add(proof)
-	doubt = oddsGain(newTimed, newCalls.failed+newSlow, max(minBase, c.badBase.highest(now)), provenFraction)
 	c.doubt.addDoubt(doubt)
-	base := c.failedBase.highest(now)
-	suspicion = oddsGain(newCalls.calls, newCalls.failed, base, max(minSuspectFraction, min(base, provenFraction)))
 	c.evidenceStart, c.evidence = now, [2]counts{}
 	return proof, doubt, suspicion
 }
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -235,6 +235,13 @@
 
 // beginStep begins to judge the new version anew at the share of m.
 func (a *Analyzer) beginStep(now time.Time, m config.Move, calls int64) {
+	if a.policy.isExposed(m.Share) {
+		rises := a.share >= 0 && !a.policy.isExposed(a.share)
+		a.all.beginExposure(m.Share, rises)
+		for _, g := range a.withoutHost {
+			g.beginExposure(m.Share, rises)
+		}
+	}
 	a.share = m.Share
 	a.stepStartCalls = calls
 	a.stepStart = now
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -287,3 +287,48 @@
 	m.Reason = d.Reason
 	require.Equal(t, 90, good(), "as many good calls after an election")
 }
+
+// A version that failed no calls under little load and many under load was proven because
+// the old version failed as many all the time.
+func TestVersionIsComparedWithItselfUnderLessLoad(t *testing.T) {
+	policy := limited
+	policy.MinCalls = 8
+	a := move.NewAnalyzer(policy)
+	m := exposedMove(90)
+	var oldCalls, newCalls, newFailed int64
+	step := func(at time.Duration, oldMore, newMore, failedMore int64) move.Decision {
+		oldCalls, newCalls, newFailed = oldCalls+oldMore, newCalls+newMore, newFailed+failedMore
+		now := start.Add(at)
+		a.Observe(now, m, []callstats.Row{row("v1", "r", "a", oldCalls, oldCalls/5), row("v2", "r", "b", newCalls/2, newFailed/2), row("v2", "r", "c", newCalls-newCalls/2, newFailed-newFailed/2)})
+		return a.Decide(now, m, readySlots, config.DeadlineRollBack)
+	}
+	for i := range 24 {
+		step(time.Duration(i)*300*time.Millisecond, 50, 3, 0)
+	}
+	m.Share, m.Since = 500, start.Add(7400*time.Millisecond)
+	for i := range 20 {
+		d := step(7400*time.Millisecond+time.Duration(i)*300*time.Millisecond, 20, 20, 4)
+		require.LessOrEqual(t, d.Share, 500, "as many fail as of the old version, but none did before")
+	}
+}
+
+// Good calls prove a version under load only as long as it is under load.
+func TestFewCallsProveNothingUnderLoad(t *testing.T) {
+	policy := limited
+	policy.MinCalls = 8
+	for _, test := range []struct {
+		newMore int64
+		want    int
+	}{{20, 900}, {2, 500}} {
+		a := move.NewAnalyzer(policy)
+		m := exposedMove(500)
+		m.Since = start.Add(7400 * time.Millisecond)
+		share := 0
+		for i := range int64(15) {
+			now := start.Add(7400*time.Millisecond + time.Duration(i)*300*time.Millisecond)
+			a.Observe(now, m, []callstats.Row{row("v1", "r", "a", 20*i, 0), row("v2", "r", "b", test.newMore*i, 0)})
+			share = max(share, a.Decide(now, m, readySlots, config.DeadlineRollBack).Share)
+		}
+		require.Equal(t, test.want, share)
+	}
+}
--- a/internal/move/group.go
+++ b/internal/move/group.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 // allRoutes stands for the comparison over all routes together. No route has an
@@ -23,7 +25,8 @@
 	proof     odds
 	doubt     odds
 	suspicion odds
-	prior     odds // At which the proof begins.
+	prior     odds    // At which the proof begins.
+	minShare  float64 // Of the calls, below which good ones prove nothing.
 }
 
 func newGroup() *group { return &group{routes: map[string]*comparison{}} }
@@ -40,7 +43,7 @@
 		}
 		f, s := c.observe(now, sums[route])
 		failing, slow = failing.plus(f), slow.plus(s)
-		proofGain, doubtGain, suspicionGain := c.addEvidence(now)
+		proofGain, doubtGain, suspicionGain := c.addEvidence(now, g.minShare)
 		proof, doubt, suspicion = proof+proofGain, doubt+doubtGain, suspicion+suspicionGain
 	}
 	g.proof.add(proof)
@@ -100,6 +103,17 @@
 	}
 }
 
+// beginExposure begins a share above the limit. If the share was below it before, what the
+// new version did then shows what to expect of it under load.
+func (g *group) beginExposure(share int, rises bool) {
+	g.minShare = minLoadFraction * float64(share) / config.FullShare
+	for _, c := range g.routes {
+		if rises {
+			c.unexposed = reference{c.spoiled, c.failed}
+		}
+	}
+}
+
 // distrust begins with odds against the new version.
 func (g *group) distrust() { g.prior = odds(-proofThreshold) }
 
--- a/internal/move/proof.go
+++ b/internal/move/proof.go
@@ -36,6 +36,18 @@
 	evidenceInterval = 250 * time.Millisecond
 	// minBase is the smallest fraction of bad calls that a proof expects.
 	minBase = 0.02
+	// minExpectedBad is the smallest fraction of bad calls to expect under load of a version
+	// that had fewer under little load.
+	minExpectedBad = 0.04
+	// expectedErrors is the number of standard errors that are added to what a version did
+	// under little load.
+	expectedErrors = 3
+	// minLoadFraction is the fraction of its share that a version must get for its good calls
+	// to prove it under load.
+	minLoadFraction = 0.5
+	// minUnexposedCalls is how many calls of the new version under little load show what to
+	// expect of it under more.
+	minUnexposedCalls = 20
 	// A fraction of bad calls is estimated as if priorBad more calls had been bad.
 	priorBad   = 0.3
 	priorCalls = 20
@@ -68,49 +80,74 @@
 	*o = odds(max(-doubtDepth*proofThreshold, min(float64(*o)+gain, oddsHeadroom*proofThreshold)))
 }
 
+// tally counts calls and the bad ones among them.
+type tally struct{ calls, bad int64 }
+
+func (t *tally) add(calls, bad int64) {
+	t.calls += calls
+	t.bad += bad
+}
+
+// fraction returns an estimate of the fraction of bad calls.
+func (t tally) fraction() float64 { return estimateFraction(t.calls, t.bad) }
+
+// highest returns a high estimate of the fraction of bad calls, by a number of standard
+// errors.
+func (t tally) highest(errors float64) float64 {
+	fraction := t.fraction()
+	return fraction + errors*math.Sqrt(fraction*(1-fraction)/(float64(t.calls)+priorCalls))
+}
+
+// reference is what both versions did under little load.
+type reference struct{ spoiled, failed [2]tally }
+
+// expectedBad returns the fraction of bad calls to expect of a new version as good as the
+// old one, given the recent fraction of the old one and what both did under little load. A
+// version that had fewer bad calls than the old one should have as many fewer of them under
+// more load.
+func expectedBad(before [2]tally, oldFraction float64) float64 {
+	if before[newSide].calls < minUnexposedCalls {
+		return oldFraction
+	}
+	own := before[newSide].highest(expectedErrors) + max(0, oldFraction-before[oldSide].fraction())
+	return min(oldFraction, max(own, minExpectedBad))
+}
+
 // recentBase is the recent fraction of bad calls of the old version.
 type recentBase struct {
 	samples []baseSample // Oldest first.
 }
 
 type baseSample struct {
-	at         time.Time
-	calls, bad int64
+	at time.Time
+	tally
 }
 
 // add adds calls of the old version that ended by now.
 func (b *recentBase) add(now time.Time, calls, bad int64) {
-	b.samples = append(b.samples, baseSample{now, calls, bad})
+	b.samples = append(b.samples, baseSample{now, tally{calls, bad}})
 	for len(b.samples) > 1 && now.Sub(b.samples[0].at) > baseWindow {
 		b.samples = b.samples[1:]
 	}
 }
 
 // fraction returns the estimate over baseWindow.
-func (b *recentBase) fraction() float64 {
-	calls, bad := b.since(time.Time{})
-	return estimateFraction(calls, bad)
-}
+func (b *recentBase) fraction() float64 { return b.since(time.Time{}).fraction() }
 
-// highest returns a high estimate: by a standard error more than that over baseWindow, or
-// that over onsetWindow if it is higher, because what both versions depend on may have
-// begun to fail.
+// highest returns a high estimate: that over baseWindow, or that over onsetWindow if it is
+// higher, because what both versions depend on may have begun to fail.
 func (b *recentBase) highest(now time.Time) float64 {
-	calls, bad := b.since(time.Time{})
-	fraction := estimateFraction(calls, bad)
-	standardError := math.Sqrt(fraction * (1 - fraction) / (float64(calls) + priorCalls))
-	return max(fraction+standardError, estimateFraction(b.since(now.Add(-onsetWindow))))
+	return max(b.since(time.Time{}).highest(1), b.since(now.Add(-onsetWindow)).fraction())
 }
 
 // since returns the calls that were added after t.
-func (b *recentBase) since(t time.Time) (calls, bad int64) {
+func (b *recentBase) since(t time.Time) (sum tally) {
 	for _, s := range b.samples {
 		if s.at.After(t) {
-			calls += s.calls
-			bad += s.bad
+			sum.add(s.calls, s.bad)
 		}
 	}
-	return calls, bad
+	return sum
 }
 
 func estimateFraction(calls, bad int64) float64 {
