--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -231,6 +231,70 @@
 	require.Equal(t, "booked", string(stored.Body))
 }
 
+// A replica that had many claims to copy began at the first one again after each request
+// that failed, and was never complete.
+func TestSyncGoesOnAfterFailedRequests(t *testing.T) {
+	g := newReplicaGroup()
+	const claims = 5000 // Ten requests for each replica.
+	for i := range claims {
+		args := claim.TakeArgs{List: claim.ListDigest(g.names), Key: fmt.Sprintf("clubs\x00k%d", i), Attempt: "1"}
+		for _, name := range []string{"b", "c"} {
+			require.NoError(t, g.replicas[name].Take(args, &claim.TakeReply{}))
+		}
+	}
+	a := g.start("a", false)
+	stop := make(chan struct{})
+	defer close(stop)
+	var requests atomic.Int64
+	go a.Sync(g.names, "a", func(address, method string, args, reply any, timeout time.Duration) error {
+		if requests.Add(1)%4 == 0 {
+			return errDown
+		}
+		return g.call(address, method, args, reply, timeout)
+	}, stop)
+	requireEventually(t, "replica a is complete", a.Complete)
+	require.Equal(t, claims, a.Len())
+	copied, failures := a.Synced()
+	require.EqualValues(t, 2*claims, copied, "each claim is copied once from each replica")
+	require.Positive(t, failures)
+}
+
+// Copies of pages hold each claim once and in the order of keys, whatever the number of
+// claims.
+func TestCopyReturnsAllClaimsInOrder(t *testing.T) {
+	for _, n := range []int{0, 1, 19, 20, 21, 40, 41, 1000} {
+		table := claim.NewTable(time.Unix(9000, 0), lifetime)
+		table.SetComplete()
+		for i := range n {
+			table.Acquire(time.Unix(9000, 0), fmt.Sprintf("clubs\x00k%04d", i), "1", 0)
+		}
+		after, next := "", 0
+		for {
+			page := table.Copy(time.Unix(9000, 0), after, 20)
+			for _, c := range page {
+				require.Equal(t, fmt.Sprintf("clubs\x00k%04d", next), c.Key)
+				next++
+			}
+			if len(page) < 20 {
+				break
+			}
+			after = page[len(page)-1].Key
+		}
+		require.Equal(t, n, next)
+	}
+}
+
+func BenchmarkCopyOfManyClaims(b *testing.B) {
+	table := claim.NewTable(time.Unix(9000, 0), lifetime)
+	table.SetComplete()
+	for i := range 100_000 {
+		table.Acquire(time.Unix(9000, 0), fmt.Sprintf("clubs\x00k%d", i), "1", 0)
+	}
+	for b.Loop() {
+		table.Copy(time.Unix(9000, 0), "", 500)
+	}
+}
+
 // If a response was stored at one replica only and that one restarts, a retry fails
 // because the claim is pending. It must not be executed again.
 func TestResponseLostWithItsReplicaIsNotExecutedAgain(t *testing.T) {
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -87,7 +87,8 @@
 	mutex      sync.Mutex
 	table      *Table
 	// votes counts the replies to Take by vote.
-	votes [VoteTaken + 1]int64
+	votes                [VoteTaken + 1]int64
+	copied, copyFailures int64 // See Synced.
 }
 
 // NewService returns a replica that starts now. With firstStart it is complete
@@ -211,10 +212,11 @@
 		return
 	}
 	synced := map[string]bool{}
+	positions := map[string]string{}
 	for !s.Complete() {
 		for _, address := range replicas {
 			if address != own && !synced[address] {
-				synced[address] = s.syncFrom(address, call)
+				positions[address], synced[address] = s.syncFrom(address, positions[address], call)
 			}
 		}
 		if countTrue(synced) >= majority(len(replicas)) {
@@ -243,20 +245,40 @@
 // them.
 func majority(replicas int) int { return replicas/2 + 1 }
 
-// syncFrom merges all claims of the replica at an address. It returns false if
-// a request failed.
-func (s *Service) syncFrom(address string, call CallFunc) bool {
-	for after := ""; ; {
+// syncFrom merges the claims of the replica at an address whose keys sort after a key. It
+// returns the last key received, and false if a request failed. The next round goes on from
+// there: claims granted since the first request were granted without this replica, so it
+// need not know them.
+func (s *Service) syncFrom(address, after string, call CallFunc) (last string, ok bool) {
+	for {
 		var reply CopyReply
 		if call(address, "Claims.Copy", CopyArgs{List: s.listDigest, After: after}, &reply, syncRetryDelay) != nil {
-			return false
+			s.addSync(0, 1)
+			return after, false
 		}
 		if len(reply.Claims) == 0 {
-			return true
+			return after, true
 		}
 		after = reply.Claims[len(reply.Claims)-1].Key
 		s.mutex.Lock()
 		s.table.Merge(s.clock(), reply.Claims)
 		s.mutex.Unlock()
+		s.addSync(int64(len(reply.Claims)), 0)
 	}
 }
+
+// addSync counts claims copied from other replicas, and requests for them that failed.
+func (s *Service) addSync(claims, failures int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.copied += claims
+	s.copyFailures += failures
+}
+
+// Synced returns how many claims Sync has copied from other replicas, and how many of its
+// requests have failed.
+func (s *Service) Synced() (claims, failures int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.copied, s.copyFailures
+}
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -160,10 +160,17 @@
 // for a replica that has restarted.
 func (t *Table) Copy(now time.Time, after string, limit int) []Claim {
 	t.expire(now)
-	var keys []string
+	// The buffer holds the smallest keys so far. Whenever it is full, the larger half goes.
+	keys := make([]string, 0, 2*limit)
+	cutoff := "" // No key from here on is among the smallest; empty if unknown.
 	for key := range t.claims {
-		if key > after {
-			keys = append(keys, key)
+		if key <= after || cutoff != "" && key >= cutoff {
+			continue
+		}
+		if keys = append(keys, key); len(keys) == 2*limit {
+			slices.Sort(keys)
+			keys = keys[:limit]
+			cutoff = keys[limit-1]
 		}
 	}
 	slices.Sort(keys)
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -43,6 +43,14 @@
 	c := d.config.Counters
 	c.Gauge("claims_kept", func() any { return d.claims.Len() })
 	c.Gauge("claims_complete", func() any { return d.claims.Complete() })
+	c.Gauge("claims_copied", func() any {
+		claims, _ := d.claims.Synced()
+		return claims
+	})
+	c.Gauge("claims_copy_failures", func() any {
+		_, failures := d.claims.Synced()
+		return failures
+	})
 	c.Gauge("claims_granted", func() any { return d.claims.Votes(claim.VoteGranted) })
 	c.Gauge("claims_taken", func() any { return d.claims.Votes(claim.VoteTaken) })
 	c.Gauge("claims_abstained", func() any { return d.claims.Votes(claim.VoteAbstain) })
