--- a/internal/move/allowance_test.go
+++ b/internal/move/allowance_test.go
@@ -1,6 +1,7 @@
 package move_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -154,3 +155,31 @@
 	require.True(t, ok)
 	require.Equal(t, "v1", version)
 }
+
+// A call during a move chooses a version and records the outcome.
+func BenchmarkChooseAndRecord(b *testing.B) {
+	m, e := exposedMove(90), move.NewExposure(limited, func() float64 { return 0.5 })
+	known := move.Knowledge{OldReady: true, NewReady: true, OthersKnown: true}
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			version, _ := e.Choose(start, m, known)
+			e.Record(m, version, true, true)
+		}
+	})
+}
+
+// The sums of what many daemons send follow the share also when each makes few calls.
+func ExampleExposure() {
+	policy := move.Policy{Steps: []int{90, 900, 950}, ExposedFraction: 0.1, ExposedCalls: 50}
+	exposure := move.NewExposure(policy, func() float64 { return 0.5 })
+	m := config.Move{Service: "stock", From: "v1", To: "v2", Share: 90, State: config.MoveRunning}
+	known := move.Knowledge{OldReady: true, NewReady: true}
+	sent := map[string]int{}
+	for range 100 {
+		version, _ := exposure.Choose(m.Start, m, known)
+		exposure.Record(m, version, true, true) // The call has reached an upstream.
+		sent[version]++
+	}
+	fmt.Println(sent["v1"], sent["v2"])
+	// Output: 91 9
+}
