--- a/internal/caller/policy_test.go
+++ b/internal/caller/policy_test.go
@@ -101,6 +101,26 @@
 	}
 }
 
+// Daemons that restart together know no others at first, and each took the burst of the
+// whole fleet.
+func TestRestartedDaemonsShareRetryBurst(t *testing.T) {
+	p := RetryPolicy{Ratio: 0.1, FleetBurst: 28}.withDefaults()
+	calls, retries := 0, 0
+	for range 2 { // Two restarts of all.
+		for range 9 {
+			var b retryBudgets
+			for range 20 {
+				calls++
+				b.deposit("s", p.Ratio, p.burstFor(1))
+				if b.withdraw("s", p.burstFor(1)) {
+					retries++
+				}
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(retries), 28+0.1*float64(calls))
+}
+
 // Retries to one service don't use up the budget of another.
 func TestRetryBudgetsAreSeparateByService(t *testing.T) {
 	var b retryBudgets
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -45,8 +45,10 @@
 // that they cannot overload upstreams that already fail. The zero value is ready
 // for use. It is safe for concurrent use.
 type retryBudgets struct {
-	mutex   sync.Mutex
-	budgets map[string]float64 // In retries, by service. A service without an entry has the maximum.
+	mutex sync.Mutex
+	// budgets holds retries by service. A service without an entry has at most one: a daemon
+	// that has just started knows few others, and a maximum derived from them is too high.
+	budgets map[string]float64
 }
 
 // deposit adds ratio retries to the budget of a service, up to burst. A daemon
@@ -77,7 +79,7 @@
 	if stored, ok := b.budgets[service]; ok {
 		return min(stored, max(1, burst))
 	}
-	return burst
+	return min(1, burst)
 }
 
 func (b *retryBudgets) setBudget(service string, budget float64) {
