--- a/internal/move/allowance.go
+++ b/internal/move/allowance.go
@@ -115,15 +115,19 @@
 	return &Exposure{policy: p.withDefaults(), random: random, moves: map[string]*exposedMove{}}
 }
 
-// of returns the state of a move. The caller must hold e.mutex.
+// of returns the state of a move. That of a move that a newer one of the service has
+// followed is not kept. The caller must hold e.mutex.
 func (e *Exposure) of(m config.Move) *exposedMove {
 	x := e.moves[m.Service]
-	if x == nil || !x.start.Equal(m.Start) {
-		offset := e.random()
-		x = &exposedMove{start: m.Start, offset: offset, credit: offset}
-		e.moves[m.Service] = x
+	if x != nil && x.start.Equal(m.Start) {
+		return x
 	}
-	return x
+	offset := e.random()
+	begun := &exposedMove{start: m.Start, offset: offset, credit: offset}
+	if x == nil || m.Start.After(x.start) {
+		e.moves[m.Service] = begun
+	}
+	return begun
 }
 
 // Choose returns the version for a call of a service with the running move m, and the
--- a/internal/move/allowance_test.go
+++ b/internal/move/allowance_test.go
@@ -130,6 +130,24 @@
 	require.InDelta(t, 28, sent, 3, "0.9 of 10 calls a second for the 3 s after the contact")
 }
 
+// A call of an earlier move that ended during a newer one of the service made the daemon
+// forget the calls of the newer move.
+func TestLateCallOfEarlierMoveIsIgnored(t *testing.T) {
+	earlier, m := exposedMove(90), exposedMove(90)
+	earlier.Start = start.Add(-time.Minute)
+	e := move.NewExposure(limited, func() float64 { return 0.99 })
+	for range 20 {
+		e.Record(m, "v1", true, true)
+	}
+	known := move.Knowledge{OldReady: true, NewReady: true}
+	version, _ := e.Choose(start, m, known)
+	require.Equal(t, "v2", version)
+	e.Record(earlier, "v2", true, true)
+	version, reason := e.Choose(start, m, known)
+	require.Equal(t, "v1", version, "the call that was sent before counts")
+	require.Equal(t, move.ReasonRest, reason)
+}
+
 // Attempts after the first are calls of the new version, too.
 func TestRetriesCountForNewVersion(t *testing.T) {
 	m := exposedMove(90)
