--- a/internal/move/choice.go
+++ b/internal/move/choice.go
@@ -30,7 +30,7 @@
 	OldReady    bool      // An upstream of the old version is ready.
 	NewReady    bool      // An upstream of the new version is ready.
 	OthersKnown bool      // Other daemons are live.
-	Contact     time.Time // When the move was as the daemon knows it at the source's leader, at the latest.
+	Contact     time.Time // The latest time at which the source's leader is known to have had this state of the move.
 }
 
 // Exposure chooses the versions of one daemon's calls while moves are running. A version that
