Calls, moves: logs and counters tell when a caller left and what is left of a limit

Callers saw work go on after they had left, and a bad version that got more calls than allowed; nothing told at which hop, or what was left of the limit at a step.

A call that ends because its caller left now has the reason caller-left at the outbound proxy, in the queue and at the upstream (it was deadline, unreachable or broken). The HTTP server counts callers that leave and their requests. Lines on steps and evidence of moves have the calls of both versions and the limit.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -72,6 +72,7 @@
 	ReasonKeyLost     Reason = "key-lost"       // The response of the first call with the key is not stored.
 	ReasonTooLarge    Reason = "body-too-big"   // The body of the call exceeds the size limit.
 	ReasonLeaving     Reason = "daemon-leaving" // This daemon is shutting down and accepts no new calls.
+	ReasonCallerLeft  Reason = "caller-left"    // The caller closed its connection before it got a response.
 	ReasonYield       Reason = "yield"          // Shed by priority, because a service that the call needs has no room for it.
 )
 
--- a/internal/call/noresponse.go
+++ b/internal/call/noresponse.go
@@ -7,10 +7,15 @@
 
 // NoResponse returns the error for a call that got no response. sent states
 // whether any byte of it may have been sent; ctx is the context with the
-// deadline of the call.
+// deadline of the call, which is cancelled when the caller leaves.
 func NoResponse(ctx context.Context, sent bool) *Error {
 	deadlineExceeded := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	switch {
+	case sent && cancelled:
+		return UnknownError(ReasonCallerLeft)
+	case cancelled:
+		return NotExecutedError(ReasonCallerLeft)
 	case sent && deadlineExceeded:
 		return UnknownError(ReasonDeadline)
 	case sent:
--- a/internal/call/noresponse_test.go
+++ b/internal/call/noresponse_test.go
@@ -15,6 +15,8 @@
 func TestNoResponseIsNotExecutedOnlyIfNothingWasSent(t *testing.T) {
 	expired, cancel := context.WithDeadline(context.Background(), time.Unix(1, 0))
 	defer cancel()
+	left, leave := context.WithCancel(context.Background())
+	leave()
 	for _, test := range []struct {
 		ctx       context.Context
 		sent      bool
@@ -25,6 +27,8 @@
 		{expired, true, call.ExecutionUnknown, call.ReasonDeadline},
 		{context.Background(), false, call.NotExecuted, call.ReasonUnreachable},
 		{expired, false, call.NotExecuted, call.ReasonDeadline},
+		{left, true, call.ExecutionUnknown, call.ReasonCallerLeft},
+		{left, false, call.NotExecuted, call.ReasonCallerLeft},
 	} {
 		callErr := call.NoResponse(test.ctx, test.sent)
 		require.Equal(t, test.execution, callErr.Execution)
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -50,7 +50,11 @@
 	stop := context.AfterFunc(pool.unresponsive, cancel)
 	response, err := pool.transport.RoundTrip(request)
 	if err != nil {
-		callErr := call.NoResponse(ctx, sent.Load())
+		ended := ctx
+		if pool.unresponsive.Err() != nil && c.request.Context().Err() == nil {
+			ended = context.Background() // The host ended the call, not the caller.
+		}
+		callErr := call.NoResponse(ended, sent.Load())
 		callErr.Unresponsive = p.connPools.reportError(p.config.Clock(), t.Inbound, pool, err) || pool.unresponsive.Err() != nil
 		stop()
 		cancel()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -51,6 +51,10 @@
 	// it is malformed or over a limit. It may be nil and may be called
 	// concurrently.
 	OnRejected func(status int, reason string)
+	// OnCallerLeft is called when a caller has closed its connection before its
+	// requests had complete responses, with their number. It may be nil and may be
+	// called concurrently.
+	OnCallerLeft func(pending int)
 	// OnPanic is called with the value and the stack of a panic of the handler, after
 	// which only the connection is closed. It may be called concurrently. If it is nil,
 	// the panic ends the process.
@@ -98,6 +102,9 @@
 	if c.OnRejected == nil {
 		c.OnRejected = func(int, string) {}
 	}
+	if c.OnCallerLeft == nil {
+		c.OnCallerLeft = func(int) {}
+	}
 	return &Server{config: c, listeners: map[net.Listener]bool{}, conns: map[*serverConn]bool{}}
 }
 
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -112,7 +112,7 @@
 	case <-idle:
 		c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	case <-callerClosed:
-		c.cancel()
+		c.callerLeft()
 	}
 	<-callerClosed
 	c.conn.Close()
@@ -173,7 +173,7 @@
 	closed := c.closed
 	c.mutex.Unlock()
 	if err != nil {
-		c.fail()
+		c.callerLeft()
 		return false
 	}
 	return !closed
@@ -202,6 +202,20 @@
 	c.cancel()
 }
 
+// callerLeft is fail for a connection that the caller has closed.
+func (c *serverConn) callerLeft() {
+	c.mutex.Lock()
+	pending := c.pending
+	if c.closed {
+		pending = 0
+	}
+	c.mutex.Unlock()
+	if pending > 0 {
+		c.server.config.OnCallerLeft(pending)
+	}
+	c.fail()
+}
+
 // checkRequest returns the status and the reason to reject a request with, or a
 // zero status if the request is valid.
 func checkRequest(r *http.Request, limits Limits) (int, string) {
@@ -347,7 +361,7 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		c.reject(http.StatusRequestTimeout, "header took too long", lastDone)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
-		c.fail()
+		c.callerLeft()
 	default:
 		c.reject(http.StatusBadRequest, "malformed request", lastDone)
 	}
--- a/internal/move/exposure.go
+++ b/internal/move/exposure.go
@@ -86,6 +86,17 @@
 	return known && foreseen >= a.policy.ExposedFraction*expected+float64(a.policy.ExposedCalls)
 }
 
+// Exposure returns, for the log, the calls of the service and of the new version so far,
+// and how many of them the policy allows the new version up to the deadline.
+func (a *Analyzer) Exposure(now time.Time, m config.Move) string {
+	sum := a.all.total(allRoutes)
+	calls, limit := sum[oldSide].calls+sum[newSide].calls, "not known"
+	if expected, known := a.expectedCalls(now, m); known {
+		limit = fmt.Sprintf("%.0f", a.policy.ExposedFraction*expected+float64(a.policy.ExposedCalls))
+	}
+	return fmt.Sprintf("%d of %d calls, limit %s", sum[newSide].calls, calls, limit)
+}
+
 // Evidence returns, for the log, the log odds by which Decide judges the new version: the
 // proof, the suspicion, and the proof on each route.
 func (a *Analyzer) Evidence() string {
--- a/internal/source/movecontroller.go
+++ b/internal/source/movecontroller.go
@@ -77,7 +77,7 @@
 	if now.Sub(analyzed.loggedAt) >= moveLogInterval {
 		analyzed.loggedAt = now
 		n.config.Logger.Log("msg", "evidence on a move", "service", m.Service, "to", m.To, "age", now.Sub(m.Start),
-			"share", m.Share, "calls", decision.Touched, "failed", decision.Failed, "evidence", analyzed.analyzer.Evidence())
+			"share", m.Share, "calls", decision.Touched, "failed", decision.Failed, "exposure", analyzed.analyzer.Exposure(now, m.Move), "evidence", analyzed.analyzer.Evidence())
 	}
 	if decision.State == m.State && decision.Share == m.Share && decision.Reason == m.Reason {
 		return
@@ -89,7 +89,7 @@
 	outcome, err := n.proposeStep(now, m, decision)
 	n.config.Logger.Log("msg", "step of a move", "service", m.Service, "to", m.To, "age", now.Sub(m.Start),
 		"state", decision.State, "share", decision.Share, "reason", decision.Reason,
-		"calls", decision.Touched, "failed", decision.Failed, "slots", fmt.Sprint(n.readySlots(m.Move)),
+		"calls", decision.Touched, "failed", decision.Failed, "exposure", analyzed.analyzer.Exposure(now, m.Move), "slots", fmt.Sprint(n.readySlots(m.Move)),
 		"replaces", m.Revision, "status", outcome.Status, "revision", outcome.Revision, "refusal", outcome.Reason,
 		"took", n.config.Clock().Sub(now), "err", err)
 	if err != nil {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -132,6 +132,9 @@
 	if r.scheduler.abandon(w) {
 		r.scheduler.finish(p.config.Clock(), c.Route, 0, true)
 	}
+	if ctx.Err() == context.Canceled {
+		return call.NotExecutedError(call.ReasonCallerLeft)
+	}
 	return call.NotExecutedError(call.ReasonDeadline)
 }
 
