HTTP server: a connection is read on while its requests wait

Callers that left were not noticed (GONE): their requests went on, and the next ones of the pipeline began for nobody, seconds later.

Cause: one goroutine reads a connection, and it waited for other things than the connection: for a place among 16 requests being handled, and for the handler to read a body. While it waits the close is not seen. Class: a reader that waits for its consumer.

Change: requests beyond 16 wait in a queue of up to 64 KB of headers and bodies, and bodies are read ahead up to 64 KB, so the reader blocks on the connection only. Beyond these bounds it asks the system for the state of the connection (Linux), which sees a close behind bytes in the receive buffer. Not seen: a close behind more bytes than both hold, since TCP does not deliver it.

--- /dev/null
+++ b/internal/http1/pipeline.go
@@ -0,0 +1,171 @@
+package http1
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// maxWaitingBytes bounds the requests of a connection that wait to be handled. The
+	// connection reads no further one beyond that.
+	maxWaitingBytes = 64 << 10
+	// stateCheckInterval is the time between two checks whether the caller has closed a
+	// connection that is not being read.
+	stateCheckInterval = 100 * time.Millisecond
+)
+
+// waitingRequest is a request that has been read.
+type waitingRequest struct {
+	request  *http.Request
+	response *response
+	body     *requestBody // Nil if there is none.
+	size     int          // Of the header and of what may be read ahead of the body, in bytes.
+}
+
+// pipeline holds the requests of a connection that are being handled or wait for that. The
+// connection goes on reading meanwhile, so that it notices when the caller leaves. The
+// connection's mutex guards the fields.
+type pipeline struct {
+	running      int
+	waiting      []waitingRequest // In the order of their arrival.
+	waitingBytes int
+	taken        chan struct{} // Has a value if waiting may have become shorter.
+}
+
+// startRequest handles a request in a goroutine of its own, now or once fewer others of
+// the connection are being handled. If it has a body, startRequest reads that ahead,
+// since the next request follows it. It returns false if the connection accepts no more
+// requests.
+func (c *serverConn) startRequest(r *http.Request, limits Limits, handlers *sync.WaitGroup, lastDone *chan struct{}) bool {
+	q := waitingRequest{request: r, size: headerSize(r)}
+	if r.Body != nil && r.Body != http.NoBody {
+		q.body = newRequestBody(r.Body, limits.MaxBodyBytes)
+		q.size += maxAheadBytes
+		if r.ContentLength >= 0 {
+			q.size += int(min(r.ContentLength, maxAheadBytes)) - maxAheadBytes
+		}
+		r.Body = q.body
+	}
+	closeConn := r.Close || !r.ProtoAtLeast(1, 1)
+	q.response = newResponse(c, r, *lastDone, closeConn)
+	if q.body != nil && r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		q.body.askCaller = q.response.writeContinue
+	}
+	*lastDone = q.response.done
+	if !c.beginRequest() {
+		return false
+	}
+	c.enqueue(q, handlers)
+	if q.body != nil && !c.readBody(q.body) {
+		return false
+	}
+	return !closeConn && c.awaitRoom()
+}
+
+// enqueue starts a goroutine for a request, or leaves the request to one that is running.
+func (c *serverConn) enqueue(q waitingRequest, handlers *sync.WaitGroup) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.pipeline.running >= c.server.config.MaxPipelined {
+		c.pipeline.waiting = append(c.pipeline.waiting, q)
+		c.pipeline.waitingBytes += q.size
+		return
+	}
+	c.pipeline.running++
+	handlers.Add(1)
+	go func() {
+		defer handlers.Done()
+		for ok := true; ok; q, ok = c.dequeue() {
+			c.handleUnlessClosed(q)
+		}
+	}()
+}
+
+// dequeue removes and returns the request that is handled next. Without one it returns
+// false, and the goroutine that has called it ends.
+func (c *serverConn) dequeue() (waitingRequest, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.pipeline.waiting) == 0 {
+		c.pipeline.running--
+		return waitingRequest{}, false
+	}
+	q := c.pipeline.waiting[0]
+	c.pipeline.waiting = c.pipeline.waiting[1:]
+	c.pipeline.waitingBytes -= q.size
+	notify(c.pipeline.taken)
+	return q, true
+}
+
+// handleUnlessClosed handles a request, unless no response to it can be written any more.
+func (c *serverConn) handleUnlessClosed(q waitingRequest) {
+	if c.isClosed() {
+		close(q.response.done)
+		if q.body != nil {
+			q.body.end(errConnClosed)
+		}
+		c.endRequest()
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	c.handle(q.response, q.request.WithContext(ctx), q.body)
+}
+
+// readBody reads a body ahead to its end. It returns false if the connection accepts no
+// more requests.
+func (c *serverConn) readBody(b *requestBody) bool {
+	for {
+		if ended, complete := b.hasEnded(); ended {
+			return complete
+		}
+		if !c.await(b.hasRoom, b.taken, b.ended) {
+			b.end(errConnClosed)
+			return false
+		}
+		if isDisconnect(b.readAhead()) {
+			c.callerLeft()
+			return false
+		}
+	}
+}
+
+// awaitRoom waits until another request may be read. It returns false if the connection
+// has ended.
+func (c *serverConn) awaitRoom() bool {
+	hasRoom := func() bool {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return c.pipeline.waitingBytes <= maxWaitingBytes
+	}
+	return c.await(hasRoom, c.pipeline.taken, nil)
+}
+
+// await waits until ready returns true or ended is closed. ready is called again after each
+// value of changed. While the connection is not read, await asks the system whether the
+// caller has closed it. It returns false if so, or if the connection has ended.
+func (c *serverConn) await(ready func() bool, changed, ended <-chan struct{}) bool {
+	if ready() {
+		return true
+	}
+	ticker := time.NewTicker(stateCheckInterval)
+	defer ticker.Stop()
+	for !ready() {
+		select {
+		case <-changed:
+		case <-ended:
+			return true
+		case <-c.ctx.Done():
+			return false
+		case <-ticker.C:
+			if isPeerClosed(c.conn) {
+				c.callerLeft()
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"time"
 )
@@ -16,8 +15,9 @@
 // bufferSize is the size, in bytes, of the read and write buffers of a connection.
 const bufferSize = 4 << 10
 
-// serverConn is a caller's connection. One goroutine reads requests. Each request
-// is handled in a goroutine of its own; responses are written in the order of the
+// serverConn is a caller's connection. One goroutine reads requests and their bodies, and
+// waits for nothing else as long as it may read ahead, so that it notices when the caller
+// closes the connection. Requests are handled in other goroutines; responses are written in the order of the
 // requests.
 //
 // fail sets closed and cancels the requests; failAndClose also closes the
@@ -25,14 +25,13 @@
 // without a failure. abort only closes the connection and cancels the requests:
 // serve ends when its next read fails.
 type serverConn struct {
-	server        *Server
-	conn          net.Conn
-	limited       *limitedConn
-	reader        *bufio.Reader
-	writer        *bufio.Writer
-	cancel        context.CancelFunc
-	ctx           context.Context
-	pipelineSlots chan struct{} // Bounds the requests that are handled concurrently.
+	server  *Server
+	conn    net.Conn
+	limited *limitedConn
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	cancel  context.CancelFunc
+	ctx     context.Context
 
 	// mutex guards the fields below.
 	mutex   sync.Mutex
@@ -41,6 +40,7 @@
 	closed  bool          // No further request is started and no further response is written.
 	closing bool          // No further request is started; pending responses are written.
 
+	pipeline        pipeline
 	awaitingRequest bool          // The first byte of a request is awaited.
 	idleTimeout     time.Duration // The limit for that; 0 means none.
 }
@@ -49,7 +49,7 @@
 	c := &serverConn{server: s, conn: conn, limited: newLimitedConn(conn)}
 	c.reader = bufio.NewReaderSize(c.limited, bufferSize)
 	c.writer = bufio.NewWriterSize(progressWriter{conn: conn, timeout: s.config.WriteTimeout}, bufferSize)
-	c.pipelineSlots = make(chan struct{}, s.config.MaxPipelined)
+	c.pipeline.taken = make(chan struct{}, 1)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -245,47 +245,6 @@
 	return size
 }
 
-// startRequest handles a request in a new goroutine. If it has a body,
-// startRequest waits until the body has been read, since the next request follows
-// it. It returns false if the connection accepts no more requests.
-func (c *serverConn) startRequest(r *http.Request, limits Limits, handlers *sync.WaitGroup, lastDone *chan struct{}) bool {
-	ctx, cancel := context.WithCancel(c.ctx)
-	var body *requestBody
-	if r.Body != nil && r.Body != http.NoBody {
-		body = newRequestBody(r.Body, limits.MaxBodyBytes)
-		r.Body = body
-	}
-	closeConn := r.Close || !r.ProtoAtLeast(1, 1)
-	w := newResponse(c, r, *lastDone, closeConn)
-	if body != nil && r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		body.askCaller = w.writeContinue
-	}
-	*lastDone = w.done
-	if !c.beginRequest() {
-		cancel()
-		return false
-	}
-	c.pipelineSlots <- struct{}{}
-	handlers.Add(1)
-	go func() {
-		defer handlers.Done()
-		defer func() { <-c.pipelineSlots }()
-		defer cancel()
-		c.handle(w, r.WithContext(ctx), body)
-	}()
-	if body != nil {
-		select {
-		case <-body.ended:
-		case <-c.ctx.Done():
-			return false
-		}
-		if body.isIncomplete() {
-			return false
-		}
-	}
-	return !closeConn
-}
-
 // beginRequest counts a pending request. It returns false if the connection has
 // been closed meanwhile. Each success needs one call of endRequest.
 func (c *serverConn) beginRequest() bool {
@@ -360,13 +319,20 @@
 	switch {
 	case errors.As(err, &netErr) && netErr.Timeout():
 		c.reject(http.StatusRequestTimeout, "header took too long", lastDone)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+	case errors.Is(err, io.EOF), isDisconnect(err):
 		c.callerLeft()
 	default:
 		c.reject(http.StatusBadRequest, "malformed request", lastDone)
 	}
 }
 
+// isDisconnect reports whether an error of reading a request means that the connection has
+// ended within the request.
+func isDisconnect(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr)
+}
+
 // reject responds to a request that does not reach the handler, and stops reading
 // requests.
 func (c *serverConn) reject(status int, reason string, lastDone chan struct{}) {
