Daemon: calls that wait for a slot end when their caller leaves, with a body too

Upstreams got requests whose callers had left more than half a second before (GONE): calls with a body that waited for a slot at the daemon of another host, such as bookings in all busy seconds.

Cause: net/http watches a connection for its end only once the body of the request was read, and the inbound proxy reads it only when the call has a slot. Class: as before, a reader that waits for its consumer.

Change: the HTTP servers of the daemon are internal/http1's, which read ahead. Bodies that wait with Expect: 100-continue in another data centre still stay there. No message between daemons changes.

--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -37,7 +37,7 @@
 		servers = append(servers, d.outboundServer)
 	}
 	for _, s := range servers {
-		s.closing.Store(true)
+		s.server.DisableKeepAlives()
 	}
 	d.renewRecord()
 	d.pause(d.config.WithdrawTime)
@@ -71,9 +71,9 @@
 // it.
 func (d *Daemon) awaitConnectionsClosed(ctx context.Context, servers []*httpServer) {
 	for waited := time.Duration(0); waited < d.config.DrainTime && ctx.Err() == nil; waited += leavePollInterval {
-		open := int64(0)
+		open := 0
 		for _, s := range servers {
-			open += s.openConnections.Load()
+			open += s.server.OpenConns()
 		}
 		if open == 0 {
 			return
