Caller: a call whose caller left is not sent again, and speaks against no upstream

Calls of callers that had left were sent again (GONE): the attempt that the cancellation ended was followed by others, which drew on the budget of retries, and each took a kept connection and closed it. Besides, callers that leave ejected the upstreams at work for them and counted as failures of both versions of a move, which hides those of a bad one.

Cause: the loop of attempts did not look at the caller's context, and the outcome of a cancelled attempt was that of a broken one.

An attempt that its caller abandons before the objective (or half of the time, without one) counts as neither good nor bad; later it counts as failed, since the upstream may hang.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -213,6 +213,7 @@
 	Route        string    // As in the Query.
 	Returning    bool      // As in the Query.
 	Rejected     bool      // The call was rejected because the queue was full.
+	Abandoned    bool      // The caller left, which says nothing about the target; Failed is ignored.
 	// Opens is how long the target would reject such calls if no others arrived; 0 if
 	// unknown.
 	Opens time.Duration
@@ -227,6 +228,9 @@
 	s := b.state(keyOf(t))
 	s.running--
 	s.lastUsed = now
+	if r.Abandoned {
+		return
+	}
 	if r.Load.Limit > 0 {
 		s.load = r.Load
 		s.loadTime = now
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -110,6 +110,17 @@
 	require.Equal(t, 6, counts["one"])
 }
 
+// Callers that leave ejected the upstreams that were at work for them.
+func TestAbandonedCallsEjectNoUpstream(t *testing.T) {
+	one, other := target("one", "a"), target("other", "a")
+	b := balance.New(balance.Config{Zone: "a"})
+	for range 9 {
+		b.Pick(now, withObjective(time.Second), []feed.Target{one}, rand.Float64)
+		b.Done(now, one, balance.Result{Failed: true, Abandoned: true})
+	}
+	require.NotZero(t, countPicks(b, withObjective(time.Second), []feed.Target{one, other})["one"])
+}
+
 // An upstream that fails three times in a row is ejected for a while, unless
 // there is no other.
 func TestUpstreamFailingRepeatedlyIsEjected(t *testing.T) {
--- a/internal/caller/callstats_test.go
+++ b/internal/caller/callstats_test.go
@@ -25,16 +25,19 @@
 	for _, test := range []struct {
 		name                 string
 		age                  time.Duration // Of the upstream.
+		left                 time.Duration // Until the deadline.
 		response             *upstream.Response
 		err                  error
 		calls, failed, timed int64
 	}{
-		{"a response", time.Minute, &upstream.Response{Status: 200}, nil, 1, 0, 1},
-		{"a response of a new upstream", time.Second, &upstream.Response{Status: 200}, nil, 1, 0, 0},
-		{"a failure of a new upstream", time.Second, &upstream.Response{Status: 500}, nil, 1, 1, 0},
-		{"a rejection by the upstream", time.Minute, nil, rejected, 1, 0, 0},
-		{"a lost response", time.Minute, nil, call.UnknownError(call.ReasonBroken), 1, 1, 0},
-		{"a call that did not reach the upstream", time.Minute, nil, call.NotExecutedError(call.ReasonShed), 0, 0, 0},
+		{"a response", time.Minute, time.Second, &upstream.Response{Status: 200}, nil, 1, 0, 1},
+		{"a response of a new upstream", time.Second, time.Second, &upstream.Response{Status: 200}, nil, 1, 0, 0},
+		{"a failure of a new upstream", time.Second, time.Second, &upstream.Response{Status: 500}, nil, 1, 1, 0},
+		{"a rejection by the upstream", time.Minute, time.Second, nil, rejected, 1, 0, 0},
+		{"a lost response", time.Minute, time.Second, nil, call.UnknownError(call.ReasonBroken), 1, 1, 0},
+		{"a caller that left early", time.Minute, 3 * time.Second, nil, call.UnknownError(call.ReasonCallerLeft), 1, 0, 0},
+		{"a caller that left late", time.Minute, time.Second, nil, call.UnknownError(call.ReasonCallerLeft), 1, 1, 0},
+		{"a call that did not reach the upstream", time.Minute, time.Second, nil, call.NotExecutedError(call.ReasonShed), 0, 0, 0},
 	} {
 		counter := callstats.NewCounter("d", 1)
 		p := New(Config{
@@ -43,7 +46,7 @@
 		})
 		running := config.Move{Service: "a", From: "v1", To: "v2", Start: now.Add(-time.Minute), State: config.MoveRunning}
 		target := feed.Target{Upstream: directory.Upstream{Service: "a", Version: "v2", Since: now.Add(-test.age)}, Host: "h"}
-		p.recordAttempt(&routedCall{route: route, service: "a", body: &callBody{}}, now, target, &running, test.response, test.err)
+		p.recordAttempt(&routedCall{route: route, service: "a", body: &callBody{}, started: now.Add(-2 * time.Second), deadline: now.Add(test.left)}, now, target, &running, test.response, test.err)
 		var sum callstats.Row
 		for _, row := range counter.Report().Rows {
 			sum = row
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -51,6 +51,10 @@
 	count := sendCount{}
 	for {
 		now := p.config.Clock()
+		if c.callerLeft() {
+			p.recordUnsent(running, version)
+			return fallbackOr(fallback, unlessUnknown(callErr, call.ReasonCallerLeft))
+		}
 		if !now.Before(c.deadline) {
 			return fallbackOr(fallback, unlessUnknown(callErr, call.ReasonDeadline))
 		}
@@ -69,7 +73,7 @@
 		c.urgency.Retry = true
 		if err == nil {
 			count.attempts++
-			if !p.shouldRetryResponse(c, response) || count.exhausted(c.maxAttempts()) || !p.withdrawRetry(c) {
+			if c.callerLeft() || !p.shouldRetryResponse(c, response) || count.exhausted(c.maxAttempts()) || !p.withdrawRetry(c) {
 				fallback.Discard()
 				return response, nil
 			}
@@ -88,7 +92,7 @@
 		if callErr.Reason == call.ReasonShed {
 			count.fullQueues++
 		}
-		if !p.mayRetryError(c, callErr) || count.exhausted(c.maxAttempts()) {
+		if c.callerLeft() || !p.mayRetryError(c, callErr) || count.exhausted(c.maxAttempts()) {
 			return fallbackOr(fallback, callErr)
 		}
 		if !p.isFreeRetry(c, callErr) && !p.withdrawRetry(c) {
@@ -101,6 +105,18 @@
 	}
 }
 
+// callerLeft reports whether the caller has closed its connection.
+func (c *routedCall) callerLeft() bool { return c.request.Context().Err() != nil }
+
+// patientUntil returns the time up to which a call that its caller abandons says nothing
+// about the upstream. Callers that leave later may do so because the upstream hangs.
+func (c *routedCall) patientUntil() time.Time {
+	if objective := c.objectiveTime(); !objective.IsZero() {
+		return objective
+	}
+	return c.started.Add(c.deadline.Sub(c.started) / 2)
+}
+
 // recordUnsent records that a call that was given a version found no upstream of it.
 func (p *Proxy) recordUnsent(running *config.Move, version string) {
 	if running != nil {
@@ -293,6 +309,7 @@
 		callErr = call.AsError(err)
 		result.Load = callErr.Load
 		result.Failed = callErr.Execution == call.ExecutionUnknown || callErr.Reason == call.ReasonUnreachable
+		result.Abandoned = callErr.Reason == call.ReasonCallerLeft && now.Before(c.patientUntil())
 		result.Draining = callErr.Reason == call.ReasonDraining
 		result.Rejected = callErr.Reason == call.ReasonShed
 		result.Opens = callErr.Opens
@@ -300,7 +317,7 @@
 		if callErr.Unresponsive && p.config.OnUnresponsive != nil {
 			p.config.OnUnresponsive(t.Host)
 		}
-		failed = callErr.Execution == call.ExecutionUnknown
+		failed = callErr.Execution == call.ExecutionUnknown && !result.Abandoned
 	} else {
 		result.Load = response.Load
 		p.fullServices.recordServed(now, c.service)
