--- a/internal/move/allowance.go
+++ b/internal/move/allowance.go
@@ -28,6 +28,9 @@
 // isProven reports whether a version at a share has passed its trial. The last step is taken
 // only with a proof under the load of the step before it.
 func (p Policy) isProven(share int) bool {
+	if p.hasClosing() {
+		return share == config.FullShare
+	}
 	return p.isExposed(share) && share >= p.Steps[len(p.Steps)-1]
 }
 
@@ -36,6 +39,16 @@
 	return len(p.Steps) > 1 && p.isExposed(p.Steps[len(p.Steps)-2])
 }
 
+// lookAllowance is the allowance of a version outside of the closing. The share is within
+// the limit; a daemon that is out of touch in the closing does not know it.
+func (p Policy) lookAllowance(m config.Move, calls float64) float64 {
+	share := p.lookShare(m, 0, false)
+	if !p.isExposed(m.Share) {
+		share = max(share, m.Share)
+	}
+	return float64(share) / config.FullShare * calls
+}
+
 // allowance returns how many of the given calls, which have reached a service since the
 // start of the move m, its new version may have got at now without being proven. It is
 // proportional to the calls: the allowances of all daemons, each for its own calls, add up
@@ -43,6 +56,9 @@
 // the deadline.
 func (p Policy) allowance(now time.Time, m config.Move, calls float64) float64 {
 	fraction := p.ExposedFraction
+	if p.hasClosing() {
+		return p.lookAllowance(m, calls)
+	}
 	if !p.isExposed(m.Share) {
 		return fraction * calls
 	}
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -53,6 +53,8 @@
 	// HoldFraction is the fraction of the time up to the deadline for which the first
 	// share is held. 0 means that the steps are spread evenly.
 	HoldFraction float64
+	// Closing ends moves whose exposure is limited. With it, Steps are not used.
+	Closing Closing
 }
 
 // DefaultSteps are the default shares of a move, in thousandths. Most are
@@ -111,6 +113,8 @@
 	stepStart      time.Time // When Decide was first called with the present share.
 	share          int       // The share at the last call of Decide; -1 before the first.
 	judged         *group    // The comparisons by which the version is judged: all, or those without a bad host.
+	late           bool      // The share has been raised before the closing.
+	stepped        bool      // beginStep was called before.
 	proven         bool      // The new version has been proven at the present share.
 }
 
@@ -216,6 +220,8 @@
 		return a.atDeadline(now, d, m, deadlineAction)
 	case result == assessedUnclear:
 		return wait(d, m, reason)
+	case a.policy.isClosing(m):
+		return a.endClosing(now, d, m)
 	case !a.policy.isExposed(m.Share) && m.Share > 0 && a.policy.ExposedFraction > 0 && a.judged.disproven():
 		return wait(d, m, waitsPrefix+" for proof: the calls of the new version speak against it")
 	default:
@@ -245,6 +251,13 @@
 	a.share = m.Share
 	a.stepStartCalls = calls
 	a.stepStart = now
+	if a.policy.hasClosing() && a.stepped {
+		if a.policy.isClosing(m) {
+			a.limitProof() // Calls under little load are not enough for a verdict.
+		}
+		return
+	}
+	a.stepped = true
 	// The last trial has proven the version for what follows it.
 	a.proven = a.policy.hasTrial() && a.policy.isProven(m.Share)
 	a.all.resetOdds()
@@ -272,6 +285,9 @@
 // the last share completes. Otherwise deadlineAction, which is
 // config.Service.Deadline, decides between completion and rollback.
 func (a *Analyzer) atDeadline(now time.Time, d Decision, m config.Move, deadlineAction string) Decision {
+	if a.policy.isClosing(m) {
+		return a.endClosing(now, d, m)
+	}
 	lastShare := a.policy.Steps[len(a.policy.Steps)-1]
 	if m.Share >= lastShare && a.soaked(now, m) && a.mayAdvance(m) {
 		return finish(d, "in time, and nothing speaks against the new version")
@@ -298,6 +314,9 @@
 	if readySlots[newSide] == 0 {
 		return d
 	}
+	if a.policy.hasClosing() {
+		return a.advanceToClosing(now, d, m)
+	}
 	schedule := a.schedule(now, m)
 	i := slices.IndexFunc(schedule.steps, func(share int) bool { return share > m.Share })
 	switch {
--- a/internal/move/exposure.go
+++ b/internal/move/exposure.go
@@ -48,7 +48,7 @@
 	if a.policy.ExposedFraction == 0 {
 		return true
 	}
-	if a.policy.isExposed(m.Share) {
+	if a.policy.isExposed(m.Share) && !a.policy.hasClosing() {
 		return a.proven && !a.judged.suspected()
 	}
 	return a.judged.proven()
@@ -58,7 +58,7 @@
 // rollback is in force, as many calls as the policy allows a version that is not proven,
 // and either has not been proven at a trial step, or is disproven since.
 func (a *Analyzer) isOverexposed(now time.Time, m config.Move, calls int64) bool {
-	if a.policy.ExposedFraction == 0 || !a.policy.isExposed(m.Share) {
+	if a.policy.ExposedFraction == 0 || !a.policy.isExposed(m.Share) || a.policy.isClosing(m) {
 		return false
 	}
 	trial := !a.policy.isProven(m.Share)
--- a/internal/move/group.go
+++ b/internal/move/group.go
@@ -135,6 +135,18 @@
 	return float64(g.proof) >= proofThreshold && !g.suspected()
 }
 
+// remainsProven reports whether the odds of a new version that was proven before are at
+// least a fraction of those of a proof, with nothing against it on any route.
+func (g *group) remainsProven(fraction float64) bool {
+	limit := g.routeLimit(minRouteOdds)
+	for _, c := range g.routes {
+		if c.proof < limit {
+			return false
+		}
+	}
+	return float64(g.proof) >= fraction*proofThreshold && !g.suspected()
+}
+
 // suspected reports whether the failures of the new version, or its bad calls on a route,
 // speak against it.
 func (g *group) suspected() bool {
--- a/internal/move/proof.go
+++ b/internal/move/proof.go
@@ -17,6 +17,11 @@
 	// proofSlowBuckets is added to comparison.slowBucket. Responses in higher buckets are
 	// bad.
 	proofSlowBuckets = 1
+	// remainingOdds is the fraction of the log odds of a proof at which a version remains
+	// proven, and to which earlier calls count for the verdict.
+	remainingOdds = 0.5
+	// verdictOdds is the fraction of the log odds of a proof that the verdict needs.
+	verdictOdds = 0.55
 	// minRouteOdds is the log odds below which the only route speaks against the version,
 	// and minSuspicionOdds the one below which its failures do.
 	minRouteOdds     = -1
