Move: a closing takes at least its shortest time; services with little traffic close too

A move shorter than 11 s would never have closed, and one of a service with under a call a second in its last third neither.

--- a/internal/move/closing.go
+++ b/internal/move/closing.go
@@ -19,8 +19,8 @@
 	// less than Policy.ExposedFraction, and Calls the fraction of Policy.ExposedCalls that
 	// makes it longer: by the time in which a service gets that many calls.
 	Fraction, Calls float64
-	// MinTime is the shortest closing. A move that is not ready for it is rolled back at
-	// the deadline.
+	// MinTime is the shortest closing. A move that is not ready for it, or whose limit is
+	// too small for it, is rolled back at the deadline.
 	MinTime time.Duration
 	// Verdict is how long before the deadline the move completes or is rolled back, so
 	// that this is in force by then.
@@ -48,14 +48,14 @@
 func (p Policy) hasClosing() bool { return p.Closing.Fraction > 0 && p.ExposedFraction > 0 }
 
 // closingTime returns how long the closing of a move takes, given the calls of the service
-// per second; 0 if they are not known.
+// per second, which are 0 if they are not known.
 func (p Policy) closingTime(m config.Move, perSecond float64) time.Duration {
 	total := m.By.Sub(m.Start).Seconds()
 	seconds := p.Closing.Fraction * total
 	if perSecond > 0 {
 		seconds = min(seconds+p.Closing.Calls*float64(p.ExposedCalls)/perSecond, maxClosingFraction*total)
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return max(p.Closing.MinTime, time.Duration(seconds*float64(time.Second)))
 }
 
 // lookShare returns the share of a version before its closing, in thousandths, by which it
@@ -94,7 +94,7 @@
 		d.Share = max(m.Share, a.policy.lookShare(m, perSecond, true))
 		d.Reason = "nothing speaks against the new version"
 	case left > closing, left < a.policy.Closing.MinTime:
-	case d.Touched-a.stepStartCalls < minStepCalls, !a.proven, !a.judged.remainsProven(remainingOdds):
+	case !a.proven, !a.judged.remainsProven(remainingOdds):
 	case a.closingExceeds(left, d.Touched, perSecond, 1-exposedReserve):
 	default:
 		d.Share = config.FullShare
