--- a/internal/move/closing.go
+++ b/internal/move/closing.go
@@ -160,6 +160,9 @@
 		return 0
 	}
 	first, last := a.alarm.samples[0], a.alarm.samples[len(a.alarm.samples)-1]
+	if !last.at.After(first.at) {
+		return 0
+	}
 	calls := func(s sample) int64 { return s.counts[oldSide].calls + s.counts[newSide].calls }
 	return max(0, float64(calls(last)-calls(first))/last.at.Sub(first.at).Seconds())
 }
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -46,8 +46,9 @@
 	// time of the move, plus a number of calls. The share stays below the fraction
 	// until the version is proven. At the steps above it but the last, it must be
 	// proven again under load, and gets no more calls than the limit leaves. A move
-	// that reaches the limit without proof is rolled back. If ExposedFraction is 0, a version needs no proof: each step only
-	// needs that nothing speaks against the version.
+	// that reaches the limit without proof is rolled back. With a Closing, the limit holds up
+	// to the deadline whatever is proven. If ExposedFraction is 0, a version needs no proof:
+	// each step only needs that nothing speaks against the version.
 	ExposedFraction float64
 	ExposedCalls    int64
 	// HoldFraction is the fraction of the time up to the deadline for which the first
