Move: the verdict takes all calls into account

Cause: calls joined the odds every 250 ms. The verdict, 0.25 s before the deadline, often left out the newest calls, which are the only ones under full load that slow calls are among, and the last good ones of a version that needs them.

Change: at a share above the limit each decision takes all calls that are known into account.

Evidence: TestVerdictTakesAllCallsIntoAccount failed before (a fault from 0.3 s before the deadline on, move of 14.2 s, called done).

--- a/internal/move/closing_test.go
+++ b/internal/move/closing_test.go
@@ -88,6 +88,19 @@
 	}
 }
 
+// The calls that were counted shortly before the verdict had no part in it.
+func TestVerdictTakesAllCallsIntoAccount(t *testing.T) {
+	for _, length := range []time.Duration{14 * time.Second, 14100 * time.Millisecond, 14200 * time.Millisecond} {
+		r := newClosingRun()
+		r.move.By = start.Add(length)
+		r.until(length - 300*time.Millisecond)
+		require.Equal(t, config.MoveRunning, r.move.State)
+		r.failing = 0.32
+		r.until(length)
+		require.Equal(t, config.MoveRolledBack, r.move.State, "%v: %s", length, r.move.Reason)
+	}
+}
+
 // The closing must not begin if the new version could go past its limit in it: the traffic
 // has grown meanwhile.
 func TestClosingWaitsUntilCallsFitLimit(t *testing.T) {
--- a/internal/move/comparison.go
+++ b/internal/move/comparison.go
@@ -242,9 +242,10 @@
 // suspicion, in which only failed calls are bad.
 //
 // If the new version got less than the fraction minShare of the calls, good calls count for
-// nothing: a fault that appears under load would not show.
+// nothing: a fault that appears under load would not show. minShare is 0 before a share above
+// the limit. From then on each call takes part in the next decision, which may be the verdict.
 func (c *comparison) addEvidence(now time.Time, minShare float64) (proof, doubt, suspicion float64) {
-	if now.Sub(c.evidenceStart) < evidenceInterval {
+	if minShare == 0 && now.Sub(c.evidenceStart) < evidenceInterval {
 		return 0, 0, 0
 	}
 	bucket := callstats.Buckets // No response counts as slow while slowBucket is unknown.
--- a/internal/move/proof.go
+++ b/internal/move/proof.go
@@ -37,7 +37,8 @@
 	// how far for a fault that has just begun.
 	baseWindow  = 3 * time.Second
 	onsetWindow = time.Second
-	// evidenceInterval is the shortest interval whose calls are added to the odds.
+	// evidenceInterval is the shortest interval whose calls are added to the odds, before a
+	// share above the limit.
 	evidenceInterval = 250 * time.Millisecond
 	// minBase is the smallest fraction of bad calls that a proof expects.
 	minBase = 0.02
