Move: the alarm compares both versions on each route

What callers saw: a good version may be rolled back at once, if more of its calls than of the old version's are on a route on which both fail often.

Cause: the alarm compared the failures of all routes together.

Evidence: TestAlarmComparesVersionsOnEachRoute failed before: 30 of 100 calls of the new version fail and 6 of 100 of the old one, 0.6 of one route's with both.

Change: the failures to expect are those of the old version on the same routes, since the start or recent, whichever are more.

--- a/internal/move/alarm_test.go
+++ b/internal/move/alarm_test.go
@@ -48,3 +48,18 @@
 	seconds := []failingCalls{calm, calm, calm, calm, calm, calm, calm, calm, calm, calm, shared, shared}
 	require.Equal(t, config.MoveRunning, decideAfter(seconds).State)
 }
+
+// A good version was rolled back if more of its calls than of the old version's were on a
+// route on which both fail often.
+func TestAlarmComparesVersionsOnEachRoute(t *testing.T) {
+	analyzer := move.NewAnalyzer(alarmPolicy)
+	var now time.Time
+	for i := range int64(4) {
+		now = start.Add(time.Duration(i) * time.Second)
+		analyzer.Observe(now, runningMove(500), []callstats.Row{
+			row("v1", "often", "a", i*90, 0), row("v1", "seldom", "a", i*10, i*6),
+			row("v2", "often", "b", i*50, 0), row("v2", "seldom", "b", i*50, i*30),
+		})
+	}
+	require.Equal(t, config.MoveRunning, analyzer.Decide(now, runningMove(500), readySlots, config.DeadlineRollBack).State)
+}
--- a/internal/move/closing.go
+++ b/internal/move/closing.go
@@ -163,6 +163,9 @@
 	if !last.at.After(first.at) {
 		return 0
 	}
-	calls := func(s sample) int64 { return s.counts[oldSide].calls + s.counts[newSide].calls }
+	calls := func(s sample) int64 {
+		sum := s.total()
+		return sum[oldSide].calls + sum[newSide].calls
+	}
 	return max(0, float64(calls(last)-calls(first))/last.at.Sub(first.at).Seconds())
 }
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -150,7 +150,7 @@
 		hosts[r.Host][r.Route] = h
 	}
 	a.all.observe(now, routes)
-	a.alarm.observe(now, a.all.total(allRoutes))
+	a.alarm.observe(now, a.all.routes)
 	for host, hostCounts := range hosts {
 		if a.withoutHost[host] == nil {
 			a.withoutHost[host] = newGroup()
