HTTP client: a request whose caller has left takes no kept connection

What callers saw: when many leave at once, calls that had just got a slot each took a kept connection to the upstream and closed it, unused; the next calls had to open new ones.

Cause: the client looked at its context only with a connection in hand.

Evidence: TestRequestOfCallerThatLeftKeepsConnection failed before (two connections for two requests that were sent, and one that was not). No such request reached an upstream, before or after.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -217,6 +217,9 @@
 // ErrBroken. When ctx ends, the connection is closed, also while the body is being
 // read.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
+	if ctx.Err() != nil {
+		return nil, errs.Combine(ErrUnreachable, ctx.Err())
+	}
 	var conn *clientConn
 	if !r.Unidentified {
 		conn = c.takeIdle(time.Now())
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -94,6 +94,20 @@
 	require.Equal(t, int64(1), conns.Load())
 }
 
+// A request whose caller had left before it was sent took a kept connection and closed it.
+func TestRequestOfCallerThatLeftKeepsConnection(t *testing.T) {
+	address, conns := serveScript(t, echoIDs)
+	c := http1.NewClient(http1.ClientConfig{Address: address, Identify: identifyByID})
+	defer c.Close()
+	require.Equal(t, "1", doAndRead(t, c, newGet("1")))
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	_, err := c.Do(left, newGet("2"))
+	require.ErrorIs(t, err, http1.ErrUnreachable, "nothing was sent")
+	require.Equal(t, "3", doAndRead(t, c, newGet("3")))
+	require.EqualValues(t, 1, conns.Load())
+}
+
 // A late second response to an earlier request is not mistaken for the response to
 // the next request on the connection.
 func TestMismatchedResponseIsDropped(t *testing.T) {
