--- a/internal/move/routemix.go
+++ b/internal/move/routemix.go
@@ -6,17 +6,17 @@
 const commonFraction = 0.1
 
 // routeMix spreads the calls of a new version over a service's routes. Common routes get the
-// same number of its calls, so that a fault on one of them shows as soon as on any other; rarer
-// ones get as many times more than their part as a route with commonFraction. The zero value
-// has counted no calls.
+// same number of its calls, so that a fault on one of them shows as soon as on any other, and
+// a rarer route as much less as its calls are fewer. The zero value has counted no calls. It is
+// not safe for concurrent use.
 type routeMix struct {
 	calls  map[string]float64 // By route.
 	total  float64
 	common []string // Routes with at least commonFraction of the calls.
 }
 
-// add counts a call of a route, and returns its weight: by how much more the call counts
-// for the share of the new version than the average call.
+// add counts a call on a route, and returns its weight: the factor by which it counts more
+// for the share of the new version than the average call, whose weight is 1.
 func (x *routeMix) add(route string) float64 {
 	if x.calls == nil {
 		x.calls = map[string]float64{}
