Process tests: a group is founded anew if a replica starts too late

What was seen: beside busy processes TestConcurrentChangesHaveOneWinner and others of the package failed: the third founder started after the first election and was refused ("the group exists already"), which is right, and the killed leader left one of two.

Cause: New started the replicas and did not look at whether they stayed.

Change: New waits until each replica serves operators; if one has ended, all begin again with empty folders. No check is changed.

--- a/internal/processtest/group.go
+++ b/internal/processtest/group.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -81,11 +82,55 @@
 		p := &Process{Name: fmt.Sprintf("source-%d", i+1)}
 		p.args = []string{"source", "--settings", g.sourceSettings(i)}
 		g.sources = append(g.sources, p)
-		g.start(p, "--init")
 	}
+	g.foundGroup()
 	return g
 }
 
+// maxFoundings is how often foundGroup starts the source replicas at most.
+const maxFoundings = 10
+
+// foundGroup starts the source replicas with empty data folders. A replica that starts after
+// the others have elected a leader refuses to found the group once more, and ends; then all of
+// them begin again.
+func (g *Group) foundGroup() {
+	for range maxFoundings {
+		for _, p := range g.sources {
+			g.start(p, "--init")
+		}
+		if g.serveOperators() {
+			return
+		}
+		for i, p := range g.sources {
+			p.Kill()
+			require.NoError(g.t, os.RemoveAll(g.DataFolder(i)))
+		}
+	}
+	g.t.Fatalf("the source replicas did not found a group:\n%s", g.logs())
+}
+
+// serveOperators waits until all source replicas serve operators. It returns false if one of
+// them has ended.
+func (g *Group) serveOperators() bool {
+	for i, p := range g.sources {
+		for !accepts(g.sourceOperators[i]) {
+			if p.Wait(10*time.Millisecond) >= 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// accepts reports whether something listens on an address.
+func accepts(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err == nil {
+		conn.Close()
+	}
+	return err == nil
+}
+
 // writeSettings writes v as JSON into a file of the group's folder and returns its
 // path.
 func (g *Group) writeSettings(name string, v any) string {
