Move: a route that fails with both versions does not stop a good one

Cause: what the old version fails on a route was estimated from three seconds, as if 20 calls more had been good. On such a route these are four calls, so each failed call of the new version counted as news. The spread of the share over routes gives the new version more of them.

Evidence: TestRouteThatAlwaysFailsDoesNotStopGoodVersion failed before.

--- a/internal/move/closing_test.go
+++ b/internal/move/closing_test.go
@@ -27,6 +27,8 @@
 	newFailed           float64
 	failing             float64 // The fraction of the new version's calls that fail.
 	perSecond           float64
+	hasRare             bool // There is a route with 1.5 calls a second, which all fail.
+	oldRare, newRare    float64
 	shares              []int // In their order.
 	closingAt, decision time.Duration
 }
@@ -44,7 +46,12 @@
 		newMore := more * float64(r.move.Share) / config.FullShare
 		r.oldCalls, r.newCalls, r.newFailed = r.oldCalls+more-newMore, r.newCalls+newMore, r.newFailed+newMore*r.failing
 		now := start.Add(r.at)
+		if r.hasRare {
+			newRare := 0.15 * min(1, 8*float64(r.move.Share)/config.FullShare)
+			r.oldRare, r.newRare = r.oldRare+0.15-newRare, r.newRare+newRare
+		}
 		r.analyzer.Observe(now, r.move, []callstats.Row{
+			row("v1", "rare", "a", int64(r.oldRare), int64(r.oldRare)), row("v2", "rare", "b", int64(r.newRare), int64(r.newRare)),
 			row("v1", "r", "a", int64(r.oldCalls), 0),
 			row("v2", "r", "b", int64(r.newCalls)/2, int64(r.newFailed)/2), row("v2", "r", "c", int64(r.newCalls)-int64(r.newCalls)/2, int64(r.newFailed)-int64(r.newFailed)/2),
 		})
@@ -101,6 +108,17 @@
 	}
 }
 
+// A good version was rolled back because of a route with few calls that fail with both
+// versions.
+func TestRouteThatAlwaysFailsDoesNotStopGoodVersion(t *testing.T) {
+	for _, length := range []time.Duration{12 * time.Second, 14 * time.Second, 16 * time.Second} {
+		r := newClosingRun()
+		r.hasRare, r.move.By = true, start.Add(length)
+		r.until(length)
+		require.Equal(t, config.MoveDone, r.move.State, "%v, %v calls of %v: %s", length, r.newRare, r.oldRare+r.newRare, r.move.Reason)
+	}
+}
+
 // The closing must not begin if the new version could go past its limit in it: the traffic
 // has grown meanwhile.
 func TestClosingWaitsUntilCallsFitLimit(t *testing.T) {
--- a/internal/move/comparison.go
+++ b/internal/move/comparison.go
@@ -267,7 +267,7 @@
 	expected := c.unexposed.spoiled
 	proof = oddsGain(newTimed, newBad, max(minBase, expectedBad(expected, c.badBase.fraction())), provenFraction)
 	doubt = oddsGain(newTimed, newBad, max(minBase, expectedBad(expected, c.badBase.highest(now))), provenFraction)
-	base := expectedBad(c.unexposed.failed, c.failedBase.highest(now))
+	base := max(minFailedBase, expectedBad(c.unexposed.failed, c.failedBase.highest(now)))
 	suspicion = oddsGain(newCalls.calls, newCalls.failed, base, max(minSuspectFraction, min(base, provenFraction)))
 	if float64(newCalls.calls) < minShare*float64(newCalls.calls+oldCalls.calls) {
 		proof, doubt, suspicion = min(proof, 0), min(doubt, 0), min(suspicion, 0)
