Move: a closing begins early enough for its verdict to be known by the deadline

Cause: a move counts as running for 0.8 s after the switch, and the closing began by its budget alone. At 400 calls a second there was no time left between that and the deadline.

Change: the closing takes at least the 0.8 s and the verdict's 0.45 s, as long as its calls are no more than 0.85 of the limit. What is left for the small share is less by as much, so the limit holds as before.

--- a/internal/move/closing.go
+++ b/internal/move/closing.go
@@ -23,8 +23,11 @@
 	// too small for it, is rolled back at the deadline.
 	MinTime time.Duration
 	// Verdict is how long before the deadline the move completes or is rolled back, so
-	// that this is in force by then.
+	// that this is in force and known by then.
 	Verdict time.Duration
+	// Settle is how long before the verdict a closing begins if the limit allows it, so that
+	// no calls of the old version are left when the move completes.
+	Settle time.Duration
 }
 
 const (
@@ -35,8 +38,10 @@
 	// exposedReserve is the fraction of Policy.ExposedCalls that is planned to be left at
 	// the deadline, for counts that arrive late and for changes of the traffic.
 	exposedReserve = 0.1
-	// maxClosingFraction limits a closing as a fraction of the time of the move.
+	// maxClosingFraction limits a closing as a fraction of the time of the move, and
+	// maxLimitFraction its calls as a fraction of the limit.
 	maxClosingFraction = 0.2
+	maxLimitFraction   = 0.85
 	// lateFraction is the fraction of the time of a move, before its closing, in which the
 	// share is lateFactor times as high as before: few calls are needed until then, and a
 	// fault may begin at any time.
@@ -51,10 +56,12 @@
 // per second, which are 0 if they are not known.
 func (p Policy) closingTime(m config.Move, perSecond float64) time.Duration {
 	total := m.By.Sub(m.Start).Seconds()
-	seconds := p.Closing.Fraction * total
+	seconds, limit := p.Closing.Fraction*total, p.ExposedFraction*total
 	if perSecond > 0 {
 		seconds = min(seconds+p.Closing.Calls*float64(p.ExposedCalls)/perSecond, maxClosingFraction*total)
+		limit += float64(p.ExposedCalls) / perSecond
 	}
+	seconds = min(max(seconds, (p.Closing.Settle+p.Closing.Verdict).Seconds()), maxLimitFraction*limit)
 	return max(p.Closing.MinTime, time.Duration(seconds*float64(time.Second)))
 }
 
