Source: a caller that does not wait for a result shares nothing with the consensus

Operators and daemons saw nothing: the race is between a proposal's caller and the consensus goroutine after the caller has given up, at a stop or after 2 s.

Cause: submitProposal read the proposal in a deferred call, to count its kind, while the consensus goroutine filled in its time and changes; and inspect, which gives up when the node stops, let its function write to the caller's variables. Class: results that are written into the memory of a caller who may have left.

Change: inspect returns what its function returns, over a channel; the kind is taken before the proposal is handed over.

--- a/internal/source/join.go
+++ b/internal/source/join.go
@@ -214,9 +214,8 @@
 // isVoter reports whether the replica is a voter in the newest member list that
 // it knows to be committed. A first member with an empty log is a voter too.
 func (n *Node) isVoter() bool {
-	voter := false
-	n.inspect(func(c *consensus) {
-		voter = slices.ContainsFunc(c.core.MembersAt(c.core.Commit()), func(m quorum.Member) bool { return m.ID == n.id && m.Voter }) ||
+	voter, _ := inspect(n, func(c *consensus) bool {
+		return slices.ContainsFunc(c.core.MembersAt(c.core.Commit()), func(m quorum.Member) bool { return m.ID == n.id && m.Voter }) ||
 			c.core.Last() == 0 && len(c.core.Members()) > 0
 	})
 	return voter
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -299,14 +299,14 @@
 	return n.submitProposal(proposal{command: c})
 }
 
-// submitProposal queues p for the consensus goroutine and waits for its outcome.
-// It sets p.done.
+// submitProposal queues p for the consensus goroutine, which may change it at any time
+// from then on, and waits for its outcome. It sets p.done.
 func (n *Node) submitProposal(p proposal) (ledger.Outcome, error) {
 	done := make(chan proposeResult, 1)
 	p.done = done
-	start := n.config.Clock()
+	start, kind := n.config.Clock(), proposalKind(p.command)
 	defer func() {
-		n.config.Counters.Observe("proposal", "kind", proposalKind(p.command), n.config.Clock().Sub(start))
+		n.config.Counters.Observe("proposal", "kind", kind, n.config.Clock().Sub(start))
 	}()
 	if !n.consensus.inputs.Offer(input{propose: &p}) {
 		return ledger.Outcome{}, ErrBusy
@@ -367,21 +367,19 @@
 }
 
 // inspect calls f in the consensus goroutine, so that f reads a consistent state,
-// and waits until f returns. It returns false if the input queue is full or the
-// node stops; in the latter case f may still be called.
-func (n *Node) inspect(f func(*consensus)) bool {
-	done := make(chan struct{})
-	wrapped := func(c *consensus) {
-		f(c)
-		close(done)
-	}
-	if !n.consensus.inputs.Offer(input{inspect: wrapped}) {
-		return false
+// and returns its result. It returns the zero value and false if the input queue is
+// full or the node stops; in the latter case f may still be called, so f must not
+// write to variables of the caller.
+func inspect[T any](n *Node, f func(*consensus) T) (T, bool) {
+	var none T
+	result := make(chan T, 1)
+	if !n.consensus.inputs.Offer(input{inspect: func(c *consensus) { result <- f(c) }}) {
+		return none, false
 	}
 	select {
-	case <-done:
-		return true
+	case r := <-result:
+		return r, true
 	case <-n.stop:
-		return false
+		return none, false
 	}
 }
--- a/internal/source/replace.go
+++ b/internal/source/replace.go
@@ -118,15 +118,15 @@
 		return ConfigDocument{}, ErrNoLeader
 	}
 	for start := n.config.Clock(); ; {
-		var document ConfigDocument
-		reached := false
-		n.inspect(func(c *consensus) {
-			reached = c.state.Revision() >= latest
-			document = ConfigDocument{Version: c.state.Version(), Origin: c.state.Origin()}
+		document, _ := inspect(n, func(c *consensus) *ConfigDocument {
+			if c.state.Revision() < latest {
+				return nil
+			}
+			return &ConfigDocument{Version: c.state.Version(), Origin: c.state.Origin()}
 		})
-		if reached {
+		if document != nil {
 			document.Origin, err = decompress(document.Origin)
-			return document, err
+			return *document, err
 		}
 		if n.config.Clock().Sub(start) > configCatchUpTimeout || !n.pause(configPollInterval) {
 			return ConfigDocument{}, ErrNoLeader
--- a/internal/source/retire.go
+++ b/internal/source/retire.go
@@ -83,13 +83,14 @@
 		return confirmedRead{}, err
 	}
 	for start := n.config.Clock(); ; {
-		reached := false
-		inspected := n.inspect(func(c *consensus) {
-			if reached = c.core.Applied() >= confirmed.applied; reached {
-				confirmed.retired = c.state.RetirementsByHost()
+		retired, _ := inspect(n, func(c *consensus) map[string][]directory.Retirement {
+			if c.core.Applied() < confirmed.applied {
+				return nil
 			}
+			return c.state.RetirementsByHost()
 		})
-		if inspected && reached {
+		if retired != nil {
+			confirmed.retired = retired
 			return confirmed, nil
 		}
 		if n.config.Clock().Sub(start) > configCatchUpTimeout || !n.pause(configPollInterval) {
--- a/internal/source/service.go
+++ b/internal/source/service.go
@@ -150,9 +150,7 @@
 // Exists reports whether this replica belongs to a group that already exists: one
 // with at least one log entry.
 func (s *sourceService) Exists(_ ExistsArgs, reply *ExistsReply) error {
-	s.node.inspect(func(c *consensus) {
-		reply.Exists = c.core.Commit() > 0 || c.core.Last() > 0
-	})
+	reply.Exists, _ = inspect(s.node, func(c *consensus) bool { return c.core.Commit() > 0 || c.core.Last() > 0 })
 	return nil
 }
 
--- a/internal/source/status.go
+++ b/internal/source/status.go
@@ -13,13 +13,12 @@
 // Status returns the state of the source and the fleet at time now, as known to
 // this replica.
 func (n *Node) Status(now time.Time) operator.Status {
-	s := operator.Status{Replica: n.config.Name, Zone: n.config.Zone, Leader: n.Leader()}
-	n.inspect(func(c *consensus) {
-		s.Term = uint64(c.core.Term())
-		s.Role = c.core.Role().String()
-		s.Revision = c.state.Revision()
-		s.Replicas = n.replicas(c)
+	s, _ := inspect(n, func(c *consensus) operator.Status {
+		return operator.Status{
+			Term: uint64(c.core.Term()), Role: c.core.Role().String(), Revision: c.state.Revision(), Replicas: n.replicas(c),
+		}
 	})
+	s.Replica, s.Zone, s.Leader = n.config.Name, n.config.Zone, n.Leader()
 	if lastContact := n.hub.LastContact(); !lastContact.IsZero() {
 		s.AgeMillis = now.Sub(lastContact).Milliseconds()
 	} else {
@@ -92,15 +91,15 @@
 
 // localConfiguration is Configuration without the confirmation.
 func (n *Node) localConfiguration() operator.Configuration {
-	var configuration operator.Configuration
-	n.inspect(func(c *consensus) {
-		configuration.Revision = c.state.Revision()
+	configuration, _ := inspect(n, func(c *consensus) operator.Configuration {
+		configuration := operator.Configuration{Revision: c.state.Revision()}
 		for _, e := range c.state.Catalog().Entries() {
 			w, _ := c.state.Writer(e.Object.Key)
 			configuration.Objects = append(configuration.Objects, operator.Object{
 				Object: e.Object, Revision: e.Revision, Operator: w.Operator, Request: w.Request, At: w.At,
 			})
 		}
+		return configuration
 	})
 	return configuration
 }
