Witness: a reply that comes after the call's timeout is not read

Cause: Client.Ask and Client.record read the reply also after an error, when peer.Client may still write to it, as its comment says. What was read then was not used, so callers saw nothing. All other callers of peer.Client.Call were read again: none reads a reply after an error.

--- a/internal/witness/client.go
+++ b/internal/witness/client.go
@@ -23,7 +23,7 @@
 	Host      string   // The daemon whose minimum revision is recorded.
 	Witnesses []string // Addresses of the witnesses.
 	// Call calls an RPC method of the process at an address. It must be safe for
-	// concurrent use.
+	// concurrent use. After an error it may still write to reply.
 	Call func(address, method string, args, reply any, timeout time.Duration) error
 }
 
@@ -153,8 +153,10 @@
 func (c *Client) record(index int, instance uint64, r config.Revision) (current uint64, taken bool, err error) {
 	var reply NoteReply
 	args := NoteArgs{Host: c.config.Host, Instance: instance, Revision: r}
-	err = c.config.Call(c.config.Witnesses[index], "Floor.Note", args, &reply, callTimeout)
-	return reply.Instance, reply.Taken, err
+	if err = c.config.Call(c.config.Witnesses[index], "Floor.Note", args, &reply, callTimeout); err != nil {
+		return 0, false, err
+	}
+	return reply.Instance, reply.Taken, nil
 }
 
 func (c *Client) setRecorded(index int, r config.Revision) {
@@ -176,8 +178,10 @@
 	for _, address := range c.config.Witnesses {
 		go func() {
 			var reply AskReply
-			err := c.config.Call(address, "Floor.Ask", AskArgs{Host: c.config.Host}, &reply, callTimeout)
-			reply.Known = reply.Known && err == nil
+			if c.config.Call(address, "Floor.Ask", AskArgs{Host: c.config.Host}, &reply, callTimeout) != nil {
+				replies <- AskReply{} // A late response may still be written to reply.
+				return
+			}
 			replies <- reply
 		}()
 	}
--- a/internal/witness/witness_test.go
+++ b/internal/witness/witness_test.go
@@ -205,3 +205,32 @@
 		}
 	}
 }
+
+// The reply of a witness that arrives after the timeout of the call must not be read. The
+// race detector fails this test.
+func TestLateReplyIsNotRead(t *testing.T) {
+	var late sync.WaitGroup
+	client := witness.NewClient(witness.Config{
+		Host: "d", Witnesses: []string{"a", "b", "c"},
+		Call: func(_, _ string, _, reply any, _ time.Duration) error {
+			late.Go(func() {
+				switch r := reply.(type) {
+				case *witness.AskReply:
+					r.Known, r.Revision = true, 7
+				case *witness.NoteReply:
+					r.Taken, r.Instance = true, 7
+				}
+			})
+			return errWitnessDown
+		},
+	})
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() { client.Run(0, stop) })
+	require.False(t, client.Confirm(5, 50*time.Millisecond, nil))
+	_, known := client.Ask()
+	require.False(t, known)
+	close(stop)
+	group.Wait()
+	late.Wait()
+}
