HTTP server: a server that was stopped before Serve ran closes its listener

Cause: the server's goroutine registers the listener when it first runs. A daemon that is told to stop right after its start would have gone on to accept calls while it drains.

Change: Serve closes the listener and returns ErrClosed after Close or Drain. TestServeAfterStopClosesListener failed before, in both cases, and passes now.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -117,11 +117,13 @@
 const acceptRetryPause = 5 * time.Millisecond
 
 // Serve accepts connections from l until l or the server is closed, and then
-// returns ErrClosed. It may be called for several listeners.
+// returns ErrClosed. After Close or Drain it closes l at once. It may be called for
+// several listeners.
 func (s *Server) Serve(l net.Listener) error {
-	s.mutex.Lock()
-	s.listeners[l] = true
-	s.mutex.Unlock()
+	if !s.addListener(l) {
+		l.Close()
+		return ErrClosed
+	}
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -140,6 +142,17 @@
 	}
 }
 
+// addListener registers a listener. It returns false if the server is closed or drains.
+func (s *Server) addListener(l net.Listener) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.conns == nil || s.draining.Load() {
+		return false
+	}
+	s.listeners[l] = true
+	return true
+}
+
 // addConn registers a connection. It returns false if the server is closed.
 func (s *Server) addConn(c *serverConn) bool {
 	s.mutex.Lock()
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -180,6 +180,31 @@
 	}
 }
 
+// A server that was stopped right after its start kept listening, so that the address was
+// not free for the next one.
+func TestServeAfterStopClosesListener(t *testing.T) {
+	for name, stop := range map[string]func(*http1.Server){"close": (*http1.Server).Close, "drain": (*http1.Server).Drain} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			s := http1.NewServer(http1.ServerConfig{Handler: http.NotFoundHandler()})
+			stop(s)
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			select {
+			case err := <-served:
+				require.ErrorIs(t, err, http1.ErrClosed)
+			case <-time.After(testTimeout):
+				t.Fatal("still accepts connections")
+			}
+			next, err := net.Listen("tcp", l.Addr().String())
+			require.NoError(t, err)
+			next.Close()
+		})
+	}
+}
+
 // Drain closes listeners and idle connections at once, and busy connections after
 // their last response.
 func TestDrainClosesIdleConnections(t *testing.T) {
