--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -48,9 +48,16 @@
 // address returns the address that the server listens on.
 func (s *httpServer) address() string { return s.listener.Addr().String() }
 
+// close closes the listener and all connections. The address is free when it returns.
+func (s *httpServer) close() {
+	s.listener.Close() // The server may not have begun to serve it.
+	s.server.Close()
+}
+
 // shutdown closes the listener and idle connections, and waits until all calls have
 // their response. It returns ctx's error if that takes too long.
 func (s *httpServer) shutdown(ctx context.Context) error {
+	s.listener.Close() // The server may not have begun to serve it.
 	s.server.Drain()
 	ticker := time.NewTicker(leavePollInterval)
 	defer ticker.Stop()
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -99,7 +99,7 @@
 func (d *Daemon) closeServers() {
 	for _, s := range []*httpServer{d.outboundServer, d.inboundServer, d.localServer} {
 		if s != nil {
-			s.server.Close()
+			s.close()
 		}
 	}
 	if d.server != nil {
