Peer: the timeout of a call covers the time to send it

Cause: net/rpc writes a call before Client.Call waits for its timeout. They go on when the system's retransmission gets through, seconds after the cut has ended, instead of at the timeout on a new connection. Class: a time limit that does not cover all that it is meant for.

Change: the timeout closes the connection, which ends the write and the calls; a call waits for its end only. TestCallTimeoutCoversSending (a call of 64 MB, nothing reads, 200 ms) failed before: neither it nor a small call behind it had returned after 2 s. Now both return at their timeout, and the next call gets a connection.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -62,7 +62,7 @@
 func (c *Client) Address() string { return c.address }
 
 // Call calls the method "Service.Method" and waits for the reply for at most
-// timeout, including the time to connect. The error matches ErrUnreachable if the
+// timeout, including the time to connect and to send the call. The error matches ErrUnreachable if the
 // call was not sent, and ErrUnknown if no reply arrived; any other error was
 // returned by the method. After ErrUnknown the caller must not read reply, because
 // it may still be written.
@@ -70,19 +70,18 @@
 // A timeout closes the connection, because the state of the remote end is
 // unknown. Other calls on the connection then fail with ErrUnknown.
 func (c *Client) Call(method string, args, reply any, timeout time.Duration) error {
+	start := time.Now()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	conn, err := c.connect(timer.C)
 	if err != nil {
 		return err
 	}
-	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-	case <-timer.C:
-		c.discard(conn)
-		return ErrUnknown
-	}
+	// Go blocks while the other process does not read. Closing the connection ends that
+	// and the call.
+	expiry := time.AfterFunc(timeout-time.Since(start), func() { c.discard(conn) })
+	defer expiry.Stop()
+	call := <-conn.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
 	if call.Error == nil {
 		return nil
 	}
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -88,3 +88,41 @@
 	require.ErrorIs(t, c.Call("A.B", 1, new(int), 50*time.Millisecond), peer.ErrUnreachable)
 	require.Less(t, time.Since(start), time.Second)
 }
+
+// A call to a process that has stopped reading must return at its timeout, also while its
+// request is being sent, and so must other calls on the connection. Later calls use
+// another connection.
+func TestCallTimeoutCoversSending(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	var dials atomic.Int32
+	server, err := peer.Listen("127.0.0.1:0", &peer.Traffic{})
+	require.NoError(t, err)
+	require.NoError(t, server.Register("Echo", &echo{}))
+	go server.Serve()
+	defer server.Close()
+	c := peer.NewClient(l.Addr().String(), func(_ string, timeout time.Duration) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			return peer.DialTCP(l.Addr().String(), timeout) // Nothing reads there.
+		}
+		return peer.DialTCP(server.Address(), timeout)
+	}, &peer.Traffic{})
+	defer c.Close()
+	const timeout = 200 * time.Millisecond
+	results := make(chan error, 2)
+	go func() { results <- c.Call("Sink.Take", make([]byte, 64<<20), new(int), timeout) }()
+	time.Sleep(timeout / 4)
+	go func() { results <- c.Call("Echo.Back", 7, new(int), timeout) }()
+	for range 2 {
+		select {
+		case err := <-results:
+			require.ErrorIs(t, err, peer.ErrUnknown)
+		case <-time.After(10 * timeout):
+			t.Fatal("a call has not returned at its timeout")
+		}
+	}
+	reply := 0
+	require.NoError(t, c.Call("Echo.Back", 7, &reply, 5*time.Second))
+	require.Equal(t, 7, reply)
+}
