Tests of peer and http1: an address of their own, a smaller call

TestServeAfterStopClosesListener listened twice on a port of 127.0.0.1, which an outgoing connection of another test could take in between; now on an address that none has. The call of TestCallTimeoutCoversSending is 16 MB instead of 64: four times what the system buffers, and less to encode under the race detector. A comment is wrapped.

--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -185,7 +185,7 @@
 func TestServeAfterStopClosesListener(t *testing.T) {
 	for name, stop := range map[string]func(*http1.Server){"close": (*http1.Server).Close, "drain": (*http1.Server).Drain} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, err := net.Listen("tcp", "127.200.0.2:0") // No outgoing connection has a port of this address.
 			require.NoError(t, err)
 			defer l.Close()
 			s := http1.NewServer(http1.ServerConfig{Handler: http.NotFoundHandler()})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -62,10 +62,10 @@
 func (c *Client) Address() string { return c.address }
 
 // Call calls the method "Service.Method" and waits for the reply for at most
-// timeout, including the time to connect and to send the call. The error matches ErrUnreachable if the
-// call was not sent, and ErrUnknown if no reply arrived; any other error was
-// returned by the method. After ErrUnknown the caller must not read reply, because
-// it may still be written.
+// timeout, including the time to connect and to send the call. The error matches
+// ErrUnreachable if the call was not sent, and ErrUnknown if no reply arrived; any
+// other error was returned by the method. After ErrUnknown the caller must not read
+// reply, because it may still be written.
 //
 // A timeout closes the connection, because the state of the remote end is
 // unknown. Other calls on the connection then fail with ErrUnknown.
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -111,7 +111,7 @@
 	defer c.Close()
 	const timeout = 200 * time.Millisecond
 	results := make(chan error, 2)
-	go func() { results <- c.Call("Sink.Take", make([]byte, 64<<20), new(int), timeout) }()
+	go func() { results <- c.Call("Sink.Take", make([]byte, 16<<20), new(int), timeout) }()
 	time.Sleep(timeout / 4)
 	go func() { results <- c.Call("Echo.Back", 7, new(int), timeout) }()
 	for range 2 {
