Claims: a restarted replica completes while claims are being granted

What callers saw: bookings with keys are refused or unknown if another claim replica restarts meanwhile, since the restarted one does not vote.

Cause: a replica copied pages of claims until one was empty. Keys that grow, like those of the test's last worker, put each new claim behind the last page; if claims come faster than a page is copied, beside load, there is never an empty one. Class: a copy that chases its source.

Change: a page that is not full is the last one. Claims granted after the first request were granted without this replica, as before.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -344,6 +344,30 @@
 	background.Wait()
 }
 
+// A restarted replica never became complete while claims with ever larger keys were granted
+// faster than it could copy them.
+func TestSyncEndsWhileClaimsAreGranted(t *testing.T) {
+	g := newReplicaGroup()
+	a := g.start("a", false)
+	stop := make(chan struct{})
+	var granted atomic.Int64
+	var background sync.WaitGroup
+	background.Go(func() {
+		a.Sync(g.names, "a", func(address, method string, args, reply any, timeout time.Duration) error {
+			if err := g.call(address, method, args, reply, timeout); err != nil {
+				return err
+			}
+			key := claim.MakeKey("team", fmt.Sprintf("%09d", granted.Add(1)))
+			reply.(*claim.CopyReply).Claims = []claim.Claim{{Key: key, Attempt: "x", State: claim.StatePending}}
+			return nil
+		}, stop)
+	})
+	requireEventually(t, "a complete replica", a.Complete)
+	close(stop)
+	background.Wait()
+	require.LessOrEqual(t, granted.Load(), int64(10))
+}
+
 // If two of three replicas restart, they cannot copy the claims. They grant
 // nothing until all earlier claims have expired.
 func TestReplicaIsCompleteOnceOldClaimsExpired(t *testing.T) {
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -248,7 +248,7 @@
 // syncFrom merges the claims of the replica at an address whose keys sort after a key. It
 // returns the last key received, and false if a request failed. The next round goes on from
 // there: claims granted since the first request were granted without this replica, so it
-// need not know them.
+// need not know them. So a reply that is not full is the last one.
 func (s *Service) syncFrom(address, after string, call CallFunc) (last string, ok bool) {
 	for {
 		var reply CopyReply
@@ -256,15 +256,28 @@
 			s.addSync(0, 1)
 			return after, false
 		}
-		if len(reply.Claims) == 0 {
-			return after, true
+		if len(reply.Claims) > 0 {
+			after = reply.Claims[len(reply.Claims)-1].Key
 		}
-		after = reply.Claims[len(reply.Claims)-1].Key
 		s.mutex.Lock()
 		s.table.Merge(s.clock(), reply.Claims)
 		s.mutex.Unlock()
 		s.addSync(int64(len(reply.Claims)), 0)
+		if !isFull(reply.Claims) {
+			return after, true
+		}
+	}
+}
+
+// isFull reports whether a CopyReply has as many claims as it may, so that others may follow.
+func isFull(claims []Claim) bool {
+	size := 0
+	for _, c := range claims {
+		if c.Answer != nil {
+			size += len(c.Answer.Body)
+		}
 	}
+	return len(claims) >= maxCopyClaims || size > maxCopyBodyBytes
 }
 
 // addSync counts claims copied from other replicas, and requests for them that failed.
