Fleet: a group is founded anew if a replica starts too late

It then ends with source.ErrExists, as it must after the loss of a disk (TestInitIsRejectedWhenGroupExists). internal/processtest founds its groups anew since; fleet.Start now does the same, if all data folders are new.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,10 +6,14 @@
 
 import (
 	"context"
+	"errors"
+	"io/fs"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -100,21 +104,59 @@
 		return nil, err
 	}
 	for i, m := range members {
-		r := &Replica{OperatorAddress: operators[i], Config: source.Config{
+		f.replicas = append(f.replicas, &Replica{OperatorAddress: operators[i], Config: source.Config{
 			Name: m.Name, Zone: c.Zones[i%len(c.Zones)], Listen: m.Address, Founders: members, Init: true,
 			Disk: disk.Config{Folder: filepath.Join(c.DataFolder, m.Name)}, Timing: c.Timing, Policy: c.Policy,
 			Dial: f.dial(m.Name),
-		}}
-		f.replicas = append(f.replicas, r)
-		if err := f.StartReplica(i); err != nil {
-			f.Stop()
-			return nil, err
-		}
+		}})
+	}
+	if err := f.foundGroup(); err != nil {
+		return nil, err
+	}
+	for _, r := range f.replicas {
 		r.Config.Init = false
 	}
 	return f, nil
 }
 
+// maxFoundings is how often foundGroup starts the replicas at most.
+const maxFoundings = 10
+
+// foundGroup starts the source replicas. A replica that starts after the others have
+// elected a leader fails with source.ErrExists. If all data folders are new, foundGroup
+// then removes them and begins again. After an error no replica is running.
+func (f *Fleet) foundGroup() error {
+	isNew := !slices.ContainsFunc(f.replicas, func(r *Replica) bool {
+		_, err := os.Stat(r.Config.Disk.Folder)
+		return !errors.Is(err, fs.ErrNotExist)
+	})
+	for n := 1; ; n++ {
+		err := f.startReplicas()
+		if err == nil {
+			return nil
+		}
+		f.Stop()
+		if !isNew || n == maxFoundings || !errors.Is(err, source.ErrExists) {
+			return err
+		}
+		for _, r := range f.replicas {
+			if err := os.RemoveAll(r.Config.Disk.Folder); err != nil {
+				return errs.New("fleet: remove a data folder: %v", err)
+			}
+		}
+	}
+}
+
+// startReplicas starts the source replicas until one fails to start.
+func (f *Fleet) startReplicas() error {
+	for i := range f.replicas {
+		if err := f.StartReplica(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // allocateReplicas returns the names and peer addresses of the source
 // replicas, and their addresses for operators.
 func (f *Fleet) allocateReplicas() ([]source.Member, []string, error) {
