Process tests: a frozen relay is at rest, in the final tree

And SIGSTOP does not act at once: the process still ran for up to 13 ms after the signal.

The test now waits for the final tree, in which four of the six daemons pull from one relay, and Process.Freeze waits until the process is stopped.

--- a/internal/processtest/claim_test.go
+++ b/internal/processtest/claim_test.go
@@ -120,7 +120,7 @@
 			random := rand.New(rand.NewPCG(seed, 60))
 			for range 3 {
 				victim := names[random.IntN(len(names))]
-				daemons[victim].Signal(syscall.SIGSTOP)
+				daemons[victim].Freeze()
 				time.Sleep(time.Duration(200+random.IntN(900)) * time.Millisecond)
 				daemons[victim].Signal(syscall.SIGCONT)
 				victim = names[random.IntN(len(names))]
--- a/internal/processtest/frozen_relay_test.go
+++ b/internal/processtest/frozen_relay_test.go
@@ -22,9 +22,11 @@
 		daemons[name] = g.StartDaemon(name, "zone-1")
 	}
 	out := applyToLatest(t, g, "base", kileleObjects(t)...)
+	// While daemons start, a relay has children that will leave it. In the final tree
+	// all daemons but the two relays pull from the same one.
 	relay := ""
-	g.Eventually(30*time.Second, "distribution tree with a relay", func() bool {
-		relay = ""
+	g.Eventually(30*time.Second, "final distribution tree", func() bool {
+		children := map[string]int{}
 		for _, name := range names {
 			s, err := g.Status(name)
 			if err != nil || !s.Ready || s.Revision < out.Revision || s.Known != len(names) {
@@ -32,11 +34,12 @@
 			}
 			if parent := g.DaemonAt(s.Parent); parent != "" {
 				relay = parent
+				children[parent]++
 			}
 		}
-		return relay != ""
+		return children[relay] == len(names)-2
 	})
-	daemons[relay].Signal(syscall.SIGSTOP)
+	daemons[relay].Freeze()
 	t.Cleanup(func() { daemons[relay].Signal(syscall.SIGCONT) })
 	begin := time.Now()
 	out = applyToLatest(t, g, "during", contract(t, "clubs", 321))
--- a/internal/processtest/group.go
+++ b/internal/processtest/group.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/endivewalk/endivewalk/internal/fleet"
 	"github.com/endivewalk/endivewalk/internal/localhttp"
@@ -181,6 +183,18 @@
 // Signal sends a signal to the process, if it is running.
 func (p *Process) Signal(s syscall.Signal) { p.command.Process.Signal(s) }
 
+// Freeze stops the process by SIGSTOP, until SIGCONT, and waits until none of its threads
+// runs any more. It does nothing if the process has exited.
+func (p *Process) Freeze() {
+	p.Signal(syscall.SIGSTOP)
+	for {
+		err := unix.Waitid(unix.P_PID, p.PID(), nil, unix.WSTOPPED|unix.WEXITED|unix.WNOWAIT, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return
+		}
+	}
+}
+
 // Kill ends the process by SIGKILL and waits until it has exited.
 func (p *Process) Kill() {
 	p.Signal(syscall.SIGKILL)
--- a/internal/processtest/restart_test.go
+++ b/internal/processtest/restart_test.go
@@ -153,7 +153,7 @@
 	for range 3 {
 		order := random.Perm(len(names))
 		frozen := daemons[names[order[0]]]
-		frozen.Signal(syscall.SIGSTOP)
+		frozen.Freeze()
 		for _, i := range order[1 : 1+len(names)/2] {
 			daemons[names[i]].Kill()
 		}
@@ -181,7 +181,7 @@
 	out := applyToLatest(t, g, "base", kileleObjects(t)...)
 	g.Eventually(eventuallyTimeout, "convergence", func() bool { return allServe(g, names, out.Revision) })
 	before := g.Counter("d1", "control_bytes_received")
-	daemons["d1"].Signal(syscall.SIGSTOP)
+	daemons["d1"].Freeze()
 	const changes = 300
 	for i := range changes {
 		out = applyToLatest(t, g, fmt.Sprintf("c%d", i), contract(t, "clubs", 1000+i))
--- a/internal/processtest/source_test.go
+++ b/internal/processtest/source_test.go
@@ -194,7 +194,7 @@
 	writeDuring(t, g, func() {
 		for range 3 {
 			leader := g.Leader()
-			g.Source(leader).Signal(syscall.SIGSTOP)
+			g.Source(leader).Freeze()
 			begin := time.Now()
 			others := g.Client((leader+1)%3, (leader+2)%3)
 			others.Timeout = time.Second
