Feed: a daemon whose second parent becomes its parent asks another one

A daemon waits up to 2 s for a notice from its second parent. When it moved from a source to its relay, that second parent usually was the relay, and until the call ended nobody else would have told it of a change: if the relay hangs just then, the change comes up to 3 s late.

The wait now ends when the parent changes. Such a call is left to end by itself, within noticeTimeout; its result is not used.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -64,10 +64,11 @@
 	minRevision  *witness.Client
 	builder      expand.Builder
 	needsFull    bool                     // The next pull asks for the full state.
-	mutex        sync.Mutex               // Guards clients, parent and parentCursor.
+	mutex        sync.Mutex               // Guards clients, parent, parentChange and parentCursor.
 	seeds        atomic.Pointer[[]string] // Addresses of source replicas from the settings.
 	clients      map[string]*peer.Client  // By address.
 	parent       string                   // The address of the current parent; empty at the start.
+	parentChange chan struct{}            // Closed and replaced when parent changes.
 	parentCursor Cursor                   // The position in the hub's changes when it became the parent.
 	choice       parentChoice
 
@@ -80,7 +81,7 @@
 
 // NewClient returns a client that keeps hub up to date.
 func NewClient(c ClientConfig, hub *Hub) *Client {
-	client := &Client{config: c, hub: hub, clients: map[string]*peer.Client{}, stop: make(chan struct{})}
+	client := &Client{config: c, hub: hub, clients: map[string]*peer.Client{}, parentChange: make(chan struct{}), stop: make(chan struct{})}
 	client.SetSources(c.Sources)
 	client.minRevision = witness.NewClient(witness.Config{Host: c.Host, Witnesses: c.MinRevision.Witnesses, Call: client.Call})
 	return client
@@ -212,6 +213,8 @@
 		return
 	}
 	c.parent = address
+	close(c.parentChange)
+	c.parentChange = make(chan struct{})
 	c.parentCursor = c.hub.recordsCursor()
 	c.mutex.Unlock()
 	c.parentInstance, c.parentIndex, c.differsSince = 0, 0, time.Time{}
--- a/internal/feed/secondparent.go
+++ b/internal/feed/secondparent.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 const (
@@ -21,8 +23,9 @@
 // is pulled from the second parent.
 func (c *Client) RunSecondParent() {
 	for {
-		address := c.secondParent()
-		if address == "" || !c.awaitNotice(address) {
+		parent, changed := c.watchParent()
+		address := c.choice.second(parent, c.candidates())
+		if address == "" || !c.awaitNotice(address, changed) {
 			if !c.sleep(secondRetryDelay) {
 				return
 			}
@@ -36,30 +39,51 @@
 	}
 }
 
-// secondParent returns the address of the best candidate that is not the parent,
-// or "" if there is none.
-func (c *Client) secondParent() string {
-	return c.choice.second(c.Parent(), c.candidates())
+// watchParent returns the address of the current parent, and a channel that is closed
+// when another one becomes the parent.
+func (c *Client) watchParent() (string, <-chan struct{}) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.parent, c.parentChange
+}
+
+// noticeResult is the result of a Feed.Notice call.
+type noticeResult struct {
+	revision config.Revision
+	err      error
 }
 
 // awaitNotice waits for one notice from the second parent and pulls the revision
 // from there if the parent does not deliver it. It returns false if the caller
-// should pause before the next notice.
-func (c *Client) awaitNotice(address string) bool {
+// should pause before the next notice. It returns early when changed is closed:
+// address may be that of the new parent, which would leave the daemon without a
+// second one until the call ends.
+func (c *Client) awaitNotice(address string, changed <-chan struct{}) bool {
 	have := c.hub.State().Revision()
-	var reply NoticeReply
-	args := NoticeArgs{Host: c.config.Host, Have: have, Wait: noticeWait}
-	if err := c.client(address).Call("Feed.Notice", args, &reply, noticeTimeout); err != nil {
-		c.choice.recordResult(c.config.Clock(), address, err, c.config.Random())
+	result := make(chan noticeResult, 1)
+	go func() {
+		var reply NoticeReply
+		args := NoticeArgs{Host: c.config.Host, Have: have, Wait: noticeWait}
+		err := c.client(address).Call("Feed.Notice", args, &reply, noticeTimeout)
+		result <- noticeResult{revision: reply.Revision, err: err}
+	}()
+	var notice noticeResult
+	select {
+	case notice = <-result:
+	case <-changed:
+		return true
+	}
+	if notice.err != nil {
+		c.choice.recordResult(c.config.Clock(), address, notice.err, c.config.Random())
 		return false
 	}
-	if reply.Revision <= have {
+	if notice.revision <= have {
 		return true
 	}
 	if !c.sleep(secondPullDelay) {
 		return false
 	}
-	if c.hub.State().Revision() < reply.Revision {
+	if c.hub.State().Revision() < notice.revision {
 		c.hub.config.Counters.Add("feed_second_pulls", 1)
 		return c.pullFromSecond(address)
 	}
