Source: a read waits for a leader, as a change does

An operator's read (configuration, moves) at a replica that had not heard from the leader yet got 503 at once, while a change at the same replica waits up to 1.5 s. TestReadsSeeAcceptedChanges failed that way once, 0.19 s after the start of its group: "no replica of the source took the request". That the replica did not know the leader was suspected then; here it is brought about.

Confirm now retries within leaderWaitTimeout, by the loop that the daemons' questions use (confirmWithin). An isolated replica refuses a read after 1.5 s, as docs/operate/source.md says of changes.

--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -242,7 +242,7 @@
 	// the newest revision.
 	leaderRequestTimeout = 2 * time.Second
 	proposeRetryPause    = 25 * time.Millisecond
-	// leaderWaitTimeout is how long Propose retries without a known leader. It is
+	// leaderWaitTimeout is how long Propose and Confirm retry without a leader. It is
 	// long enough for an election; after it, the operator of an isolated replica
 	// can try another replica.
 	leaderWaitTimeout = 1500 * time.Millisecond
--- a/internal/source/retire.go
+++ b/internal/source/retire.go
@@ -43,15 +43,27 @@
 // Concurrent calls share the confirmation and one look at the state. Without a leader that
 // can confirm them it waits for one as long as args.Wait.
 func (n *Node) latestFor(args feed.LatestArgs) (feed.LatestReply, error) {
-	deadline := n.config.Clock().Add(min(args.Wait, maxLeaderWait))
+	confirmed, err := n.confirmWithin(min(args.Wait, maxLeaderWait), func() (confirmedRead, error) {
+		return n.startConfirmations.do(n.confirmRetirements)
+	})
+	if err != nil {
+		return feed.LatestReply{}, err
+	}
+	return feed.LatestReply{Revision: confirmed.revision, Retired: confirmed.retired[args.Host]}, nil
+}
+
+// confirmWithin returns the first result of read that is not an error. Without a leader that
+// can confirm a read it waits for one, at most for d, and then returns the last error.
+func (n *Node) confirmWithin(d time.Duration, read func() (confirmedRead, error)) (confirmedRead, error) {
+	deadline := n.config.Clock().Add(d)
 	for {
 		n.awaitLeader(deadline.Sub(n.config.Clock()))
-		confirmed, err := n.startConfirmations.do(n.confirmRetirements)
+		confirmed, err := read()
 		if err == nil {
-			return feed.LatestReply{Revision: confirmed.revision, Retired: confirmed.retired[args.Host]}, nil
+			return confirmed, nil
 		}
 		if n.config.Clock().Add(proposeRetryPause).After(deadline) || !n.pause(proposeRetryPause) {
-			return feed.LatestReply{}, err
+			return confirmedRead{}, err
 		}
 	}
 }
--- a/internal/source/status.go
+++ b/internal/source/status.go
@@ -76,14 +76,17 @@
 }
 
 // Confirm waits until this replica has applied everything that had been accepted
-// before the call. On an error this replica's state may be outdated.
+// before the call. Like Propose it waits for a leader. On an error this replica's state
+// may be outdated.
 func (n *Node) Confirm() error {
-	newest, err := n.Latest()
+	newest, err := n.confirmWithin(leaderWaitTimeout, func() (confirmedRead, error) {
+		return n.confirmations.do(n.confirmLatest)
+	})
 	if err != nil {
 		return err
 	}
 	// The leader confirmed the revision, but this replica may not have applied it yet.
-	if !n.WaitRevision(newest, n.config.Clock().Add(catchUpTimeout)) {
+	if !n.WaitRevision(newest.revision, n.config.Clock().Add(catchUpTimeout)) {
 		return feed.ErrUnconfirmed
 	}
 	return nil
