--- a/internal/processtest/claim_test.go
+++ b/internal/processtest/claim_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -76,6 +77,11 @@
 			daemons := startDaemons(g, append(names, "d4"))
 			applyToLatest(t, g, "base", kileleObjects(t)...)
 			out := applyToLatest(t, g, "room", contract(t, "services", 900_000_000))
+			t.Cleanup(func() {
+				if t.Failed() {
+					logClaimCounters(t, g, append(names, "d4"))
+				}
+			})
 			var standins []string
 			for _, name := range names {
 				_, address := g.StartStandin(name, "w-"+name, "booking", "v1", "--work", "2ms")
@@ -142,6 +148,15 @@
 	}
 }
 
+// logClaimCounters logs the counters of claims at daemons.
+func logClaimCounters(t *testing.T, g *processtest.Group, daemons []string) {
+	for _, name := range daemons {
+		all, err := g.Counters(name)
+		maps.DeleteFunc(all, func(counter string, _ any) bool { return !strings.HasPrefix(counter, "claims_") })
+		t.Logf("%s: %v %v", name, all, err)
+	}
+}
+
 // checkBookings compares the attempts of each key with the calls that were executed,
 // which are counted by call ID.
 func checkBookings(t *testing.T, attempts map[string][]bookingAttempt, executed map[string]int) {
--- a/internal/processtest/group.go
+++ b/internal/processtest/group.go
@@ -360,20 +360,25 @@
 // Counter returns the value of a daemon's counter, or 0 if the daemon has no such
 // counter or does not respond within 1 s.
 func (g *Group) Counter(daemon, counter string) int {
+	all, _ := g.Counters(daemon)
+	n, _ := all[counter].(float64)
+	return int(n)
+}
+
+// Counters returns the values of a daemon's counters and gauges by name, or an error if
+// the daemon does not respond within 1 s.
+func (g *Group) Counters(daemon string) (map[string]any, error) {
 	client := http.Client{Timeout: time.Second}
 	r, err := client.Get("http://" + g.local[daemon] + "/debug/vars")
 	if err != nil {
-		return 0
+		return nil, err
 	}
 	defer r.Body.Close()
 	var vars struct {
 		Endivewalk map[string]any `json:"endivewalk"`
 	}
-	if json.NewDecoder(r.Body).Decode(&vars) != nil {
-		return 0
-	}
-	n, _ := vars.Endivewalk[counter].(float64)
-	return int(n)
+	err = json.NewDecoder(r.Body).Decode(&vars)
+	return vars.Endivewalk, err
 }
 
 // Eventually polls done until it returns true. After timeout it fails the test with
