Claims: a replica that is still copying claims grants none

A replica of claims that has restarted abstains until it has copied the claims of a majority. But a claim that it had already copied, from one replica, it granted to the attempt that holds it there. With an earlier attempt's majority being that replica's forgotten vote and the other one's, a retry then had a second majority, and a call that must not run twice could run twice.

Acquire abstains while the table is not complete, except that it still says that another attempt holds a claim.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -368,6 +368,34 @@
 	require.LessOrEqual(t, granted.Load(), int64(10))
 }
 
+// A call ran twice if a restarted replica granted the claim of an attempt that it had
+// copied from one replica, before it knew the claims of the other one.
+func TestIncompleteReplicaGrantsNoCopiedClaim(t *testing.T) {
+	g := newReplicaGroup()
+	take := func(name, attempt string) claim.Vote {
+		var reply claim.TakeReply
+		args := claim.TakeArgs{List: claim.ListDigest(g.names), Key: key, Attempt: attempt, Digest: 1}
+		require.NoError(t, g.replicas[name].Take(args, &reply))
+		return reply.Verdict
+	}
+	// The first attempt has a majority, a and b. Replica c does not get its request.
+	require.Equal(t, claim.VoteGranted, take("a", "first"))
+	require.Equal(t, claim.VoteGranted, take("b", "first"))
+	b := g.start("b", false)
+	require.Equal(t, claim.VoteGranted, take("c", "retry"))
+	g.setDown(true, "a")
+	stop := make(chan struct{})
+	var background sync.WaitGroup
+	background.Go(func() { b.Sync(g.names, "b", g.call, stop) })
+	defer background.Wait()
+	defer close(stop)
+	requireEventually(t, "the claim of c at b", func() bool { return b.Len() == 1 })
+	require.NotEqual(t, claim.VoteGranted, take("b", "retry"), "c and b would be a second majority")
+	g.setDown(false, "a")
+	requireEventually(t, "replica b is complete", b.Complete)
+	require.Equal(t, claim.VoteTaken, take("b", "retry"))
+}
+
 // If two of three replicas restart, they cannot copy the claims. They grant
 // nothing until all earlier claims have expired.
 func TestReplicaIsCompleteOnceOldClaimsExpired(t *testing.T) {
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -104,19 +104,23 @@
 
 // Acquire grants the claim of key to an attempt, unless another attempt holds
 // it. The attempt that holds it may ask again. The returned claim is the
-// current one, or the zero value if the vote is VoteAbstain.
+// current one, or the zero value if the vote is VoteAbstain. A table that is not
+// complete grants no claim, not even one that it has copied: the replica may have
+// granted another attempt that claim before its start.
 func (t *Table) Acquire(now time.Time, key, attempt string, digest uint64) (Vote, Claim) {
 	t.expire(now)
-	if c := t.claims[key]; c != nil {
-		if c.Attempt == attempt {
-			return VoteGranted, *c
-		}
+	c := t.claims[key]
+	switch {
+	case c != nil && c.Attempt != attempt:
 		return VoteTaken, *c
-	}
-	if !t.Complete(now) || len(t.claims) >= maxClaims {
+	case !t.Complete(now):
+		return VoteAbstain, Claim{}
+	case c != nil:
+		return VoteGranted, *c
+	case len(t.claims) >= maxClaims:
 		return VoteAbstain, Claim{}
 	}
-	c := &Claim{Key: key, Attempt: attempt, Digest: digest, acquiredAt: now}
+	c = &Claim{Key: key, Attempt: attempt, Digest: digest, acquiredAt: now}
 	t.insert(c)
 	return VoteGranted, *c
 }
