Feed: only a second parent that becomes the parent is replaced at once

The wait for a notice ended at each change of parent, also if the second parent was not affected. In a large fleet's start, while daemons find their parents, that asks the sources more often for nothing.

--- a/internal/feed/secondparent.go
+++ b/internal/feed/secondparent.go
@@ -23,9 +23,8 @@
 // is pulled from the second parent.
 func (c *Client) RunSecondParent() {
 	for {
-		parent, changed := c.watchParent()
-		address := c.choice.second(parent, c.candidates())
-		if address == "" || !c.awaitNotice(address, changed) {
+		address := c.secondParent()
+		if address == "" || !c.awaitNotice(address) {
 			if !c.sleep(secondRetryDelay) {
 				return
 			}
@@ -39,12 +38,10 @@
 	}
 }
 
-// watchParent returns the address of the current parent, and a channel that is closed
-// when another one becomes the parent.
-func (c *Client) watchParent() (string, <-chan struct{}) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.parent, c.parentChange
+// secondParent returns the address of the best candidate that is not the parent,
+// or "" if there is none.
+func (c *Client) secondParent() string {
+	return c.choice.second(c.Parent(), c.candidates())
 }
 
 // noticeResult is the result of a Feed.Notice call.
@@ -55,10 +52,9 @@
 
 // awaitNotice waits for one notice from the second parent and pulls the revision
 // from there if the parent does not deliver it. It returns false if the caller
-// should pause before the next notice. It returns early when changed is closed:
-// address may be that of the new parent, which would leave the daemon without a
-// second one until the call ends.
-func (c *Client) awaitNotice(address string, changed <-chan struct{}) bool {
+// should pause before the next notice. It returns early if the second parent becomes
+// the parent: until the call ended, the daemon would have no second one.
+func (c *Client) awaitNotice(address string) bool {
 	have := c.hub.State().Revision()
 	result := make(chan noticeResult, 1)
 	go func() {
@@ -67,10 +63,8 @@
 		err := c.client(address).Call("Feed.Notice", args, &reply, noticeTimeout)
 		result <- noticeResult{revision: reply.Revision, err: err}
 	}()
-	var notice noticeResult
-	select {
-	case notice = <-result:
-	case <-changed:
+	notice, ok := c.awaitUnlessParent(address, result)
+	if !ok {
 		return true
 	}
 	if notice.err != nil {
@@ -90,6 +84,30 @@
 	return true
 }
 
+// awaitUnlessParent waits for the result of a call to the second parent, whose address
+// is given. It returns false once that is the parent's.
+func (c *Client) awaitUnlessParent(address string, result <-chan noticeResult) (noticeResult, bool) {
+	for {
+		parent, changed := c.watchParent()
+		if parent == address {
+			return noticeResult{}, false
+		}
+		select {
+		case notice := <-result:
+			return notice, true
+		case <-changed:
+		}
+	}
+}
+
+// watchParent returns the address of the current parent, and a channel that is closed
+// when another one becomes the parent.
+func (c *Client) watchParent() (string, <-chan struct{}) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.parent, c.parentChange
+}
+
 // pullFromSecond pulls configuration from the second parent, without directory
 // records. It reports whether a delta was received and applied.
 func (c *Client) pullFromSecond(address string) bool {
