--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -50,8 +50,12 @@
 // waitForLeader waits for a leader and returns its index.
 func waitForLeader(t *testing.T, f *fleet.Fleet) int {
 	t.Helper()
-	eventually(t, "leader", func() bool { return f.Leader() >= 0 })
-	return f.Leader()
+	leader := -1
+	eventually(t, "leader", func() bool {
+		leader = f.Leader()
+		return leader >= 0
+	})
+	return leader
 }
 
 // kileleObjects returns the objects of the example configuration "kilele".
--- a/internal/fleet/found_test.go
+++ b/internal/fleet/found_test.go
@@ -28,8 +28,7 @@
 			}
 		},
 	})
-	waitForLeader(t, f)
 	// With two of three voters the group does not survive the loss of its leader.
-	f.StopReplica(f.Leader())
+	f.StopReplica(waitForLeader(t, f))
 	waitForLeader(t, f)
 }
