--- a/internal/fleet/read_test.go
+++ b/internal/fleet/read_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestReadWaitsUntilReplicaKnowsLeader reads the configuration at a replica that has just
-// started and has not heard from the leader yet. The read must wait for it, as a change
+// started and knows no leader yet. The read must wait until it does, as a change
 // does.
 func TestReadWaitsUntilReplicaKnowsLeader(t *testing.T) {
 	t.Parallel()
