Config, expand: teams with API keys, evacuations, cold upstreams, bulk routes

Cause: a configuration with tenants was refused for its route kind "download", and nothing in the product's types could hold API keys, a team's rate over the fleet, the rate that a cold upstream tolerates, or an evacuated data centre.

Two teams that share a key are invalid, and no message quotes a key. A Change of single objects may name neither teams nor evacuations. Nothing acts on the new members yet.

--- a/internal/expand/build.go
+++ b/internal/expand/build.go
@@ -74,6 +74,8 @@
 			services:   map[string]config.Service{},
 			moves:      map[string]config.Move{},
 			hostRoutes: map[string]map[string]*Route{},
+
+			teams: map[string]*Team{}, teamsByKey: map[string]*Team{}, evacuations: map[string]bool{},
 		},
 		builder: b, expanded: map[config.Key]expandedRoutes{},
 		units:            map[string]config.Unit{},
@@ -119,6 +121,10 @@
 		bs.table.moves[v.Service] = v
 	case config.Fleet:
 		bs.table.fleet = v
+	case config.Team:
+		bs.addTeam(v)
+	case config.Evacuation:
+		bs.table.evacuations[v.Zone] = true
 	}
 }
 
--- a/internal/expand/host.go
+++ b/internal/expand/host.go
@@ -11,6 +11,7 @@
 		name: r.Name, host: r.Host, path: r.Prefix, retryable: r.Repeat == config.RepeatSafe,
 		timeout: time.Duration(r.Timeout), objective: time.Duration(r.Objective),
 		priority: r.Priority, attempts: r.Attempts, destinations: r.Split,
+		anonymous: r.Anonymous, bulk: r.Bulk,
 	}
 }
 
--- a/internal/expand/table.go
+++ b/internal/expand/table.go
@@ -36,6 +36,8 @@
 	priority     int
 	attempts     int
 	destinations []config.Destination
+	anonymous    bool
+	bulk         bool
 }
 
 // Team returns the team of the route, or "" for a host route.
@@ -82,6 +84,12 @@
 // Callers must not modify the slice.
 func (r *Route) Destinations() []config.Destination { return r.destinations }
 
+// Anonymous reports whether calls need no API key, also in a keyed configuration.
+func (r *Route) Anonymous() bool { return r.anonymous }
+
+// Bulk reports whether the responses are large.
+func (r *Route) Bulk() bool { return r.bulk }
+
 // Limit is the rate limit of a team, from its contract. It is immutable and
 // safe for concurrent use.
 type Limit struct {
@@ -123,6 +131,10 @@
 	moves      map[string]config.Move       // By service.
 	hostRoutes map[string]map[string]*Route // By host and prefix.
 	fleet      config.Fleet
+
+	teams       map[string]*Team // By name.
+	teamsByKey  map[string]*Team // By the digest of a key.
+	evacuations map[string]bool  // By data centre.
 }
 
 // Revision returns the revision of the configuration that the table was built
@@ -244,7 +256,7 @@
 	return all
 }
 
-// Digest returns a hash of the routes, limits and version splits. Equal tables
+// Digest returns a hash of the routes, limits, version splits, teams and evacuations. Equal tables
 // have equal digests in all processes. Costs of limits and other settings of
 // services and of the fleet are not included, so tables that differ only in
 // these have equal digests too.
@@ -261,6 +273,9 @@
 		if r.host != "" {
 			write(r.host, r.objective.String(), strconv.Itoa(r.priority), strconv.Itoa(r.attempts), fmt.Sprint(r.destinations))
 		}
+		if r.anonymous || r.bulk {
+			write("anonymous", strconv.FormatBool(r.anonymous), "bulk", strconv.FormatBool(r.bulk))
+		}
 	}
 	for _, l := range t.sortedLimits() {
 		write(l.team, strconv.Itoa(l.amount), l.unit, l.window.String())
@@ -269,5 +284,11 @@
 		s := t.VersionSplit(name)
 		write(name, s.From, s.To, strconv.Itoa(s.Share))
 	}
+	for _, name := range t.Teams() {
+		write(t.teams[name].digestParts()...)
+	}
+	for _, zone := range t.Evacuations() {
+		write("evacuation", zone)
+	}
 	return h.Sum64()
 }
--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -91,6 +91,13 @@
 		switch o.Key.Kind() {
 		case config.KindService:
 			addInForce(config.MakeKey(config.KindMove, o.Key.Name()))
+		case config.KindTeam:
+			// Any other team may hold one of its keys.
+			for k := range s.catalog.Objects() {
+				if k.Kind() == config.KindTeam {
+					addInForce(k)
+				}
+			}
 		case config.KindRoute:
 			value, err := s.builder.Value(o)
 			if err != nil {
--- a/internal/ledger/replace.go
+++ b/internal/ledger/replace.go
@@ -80,7 +80,7 @@
 // inFullConfig reports whether objects of kind k belong to a full
 // configuration.
 func inFullConfig(k config.Kind) bool {
-	return k == config.KindRoute || k == config.KindService || k == config.KindFleet
+	return k == config.KindRoute || k == config.KindService || k == config.KindFleet || k == config.KindTeam
 }
 
 // withPinnedVersion returns o with the version of the service in force if o is
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -158,14 +158,24 @@
 	return append(keys, c.Remove...)
 }
 
+// inChange reports whether a Change may name objects of kind k.
+func inChange(k config.Kind) bool {
+	switch k {
+	case config.KindMove, config.KindFleet, config.KindTeam, config.KindEvacuation:
+		return false
+	default:
+		return true
+	}
+}
+
 // checkKeys rejects keys that an operator may not change by a Change: invalid
-// keys, moves, the full configuration, duplicates, and removals of absent
+// keys, kinds that a Change may not name, duplicates, and removals of absent
 // objects. It also checks each put object. It returns the outcome and true if
 // the command is rejected.
 func (s *State) checkKeys(c Command) (Outcome, bool) {
 	seen := map[config.Key]bool{}
 	for _, key := range changedKeys(c.Change) {
-		if !key.Valid() || key.Kind() == config.KindMove || key == config.FleetKey || seen[key] {
+		if !key.Valid() || !inChange(key.Kind()) || seen[key] {
 			return s.reject(c, "%q is no key that a change may name, or stands twice", key), true
 		}
 		seen[key] = true
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -24,6 +24,8 @@
 	Priority  int           `json:"priority,omitempty"`        // 0 is the most urgent. Check accepts any value.
 	Attempts  int           `json:"attempts" jsonc:"required"` // Maximum per call, at least 1.
 	Split     []Destination `json:"split" jsonc:"required"`
+	Anonymous bool          `json:"anonymous,omitempty"` // Calls need no API key.
+	Bulk      bool          `json:"bulk,omitempty"`      // The responses are large.
 }
 
 // Destination is a weighted destination of a route. Service gets the share of
@@ -47,6 +49,7 @@
 type Fleet struct {
 	Version uint64       `json:"version"` // Config.Version.
 	Limits  CallerLimits `json:"limits"`
+	Keyed   bool         `json:"keyed,omitempty"` // Config.Keyed.
 }
 
 // FleetKey is the key of the only Fleet object.
@@ -59,6 +62,10 @@
 	Limits   CallerLimits
 	Services []Service
 	Routes   []HostRoute
+	// Keyed means that a call needs the API key of one of Teams, unless its route is
+	// Anonymous. Without it, Teams must be empty.
+	Keyed bool
+	Teams []Team
 }
 
 // ErrInvalidConfig is matched, with errors.Is, by every error of Config.Check.
@@ -77,6 +84,12 @@
 	if err := c.Limits.check("limits"); err != nil {
 		return err
 	}
+	if !c.Keyed && len(c.Teams) > 0 {
+		return invalidConfig("teams", "a configuration that is not keyed has teams")
+	}
+	if err := checkTeams(c.Teams); err != nil {
+		return err
+	}
 	services := map[string]bool{}
 	for i, s := range c.Services {
 		place := fmt.Sprintf("services[%d]", i)
@@ -131,6 +144,8 @@
 		return v.check(place)
 	case HostRoute:
 		return v.check(place)
+	case Team:
+		return v.check(place)
 	default:
 		return nil
 	}
@@ -153,6 +168,8 @@
 		return invalidConfig(place, "deadline: want %q or %q, got %q", DeadlineFinish, DeadlineRollBack, s.Deadline)
 	case s.Connections < 0:
 		return invalidConfig(place, "connections is negative")
+	case s.ColdTime < 0 || !(s.ColdRate >= 0) || math.IsInf(s.ColdRate, 1):
+		return invalidConfig(place, "coldTime or coldRate is negative or no number")
 	default:
 		return nil
 	}
@@ -202,16 +219,19 @@
 }
 
 // Objects returns the objects of the configuration, sorted by key: one Fleet,
-// and one object for each service and route. It does not check the
+// and one object for each service, route and team. It does not check the
 // configuration; see Check.
 func (c Config) Objects() ([]Object, error) {
-	all := make([]Object, 0, len(c.Routes)+len(c.Services)+1)
+	all := make([]Object, 0, len(c.Routes)+len(c.Services)+len(c.Teams)+1)
 	add := func(value any) error {
 		o, err := MakeObject(value)
 		all = append(all, o)
 		return err
 	}
-	err := add(Fleet{Version: c.Version, Limits: c.Limits})
+	err := add(Fleet{Version: c.Version, Limits: c.Limits, Keyed: c.Keyed})
+	for _, t := range c.Teams {
+		err = errs.Combine(err, add(t))
+	}
 	for _, s := range c.Services {
 		err = errs.Combine(err, add(s))
 	}
--- a/pkg/config/object.go
+++ b/pkg/config/object.go
@@ -20,6 +20,8 @@
 	KindMove       Kind = "move"
 	KindRoute      Kind = "route" // Of a HostRoute.
 	KindFleet      Kind = "fleet"
+	KindTeam       Kind = "team"       // Of a Config.
+	KindEvacuation Kind = "evacuation" // Of a data centre.
 )
 
 // Key identifies an object within a fleet. It consists of the kind and the
@@ -49,7 +51,7 @@
 func (k Key) Valid() bool {
 	wantParts := 1
 	switch k.Kind() {
-	case KindUnit, KindTemplate, KindContract, KindService, KindMove, KindRoute, KindFleet:
+	case KindUnit, KindTemplate, KindContract, KindService, KindMove, KindRoute, KindFleet, KindTeam, KindEvacuation:
 	case KindParameters:
 		wantParts = 2
 	default:
@@ -72,7 +74,7 @@
 }
 
 // MakeObject returns the canonical form of a Unit, Template, Parameters,
-// Contract, Service, Move, HostRoute or Fleet. It returns an error for any
+// Contract, Service, Move, HostRoute, Fleet, Team or Evacuation. It returns an error for any
 // other type. The key may be invalid; see Key.Valid.
 func MakeObject(value any) (Object, error) {
 	var key Key
@@ -93,6 +95,10 @@
 		key = v.Key()
 	case Fleet:
 		key = FleetKey
+	case Team:
+		key = MakeKey(KindTeam, v.Name)
+	case Evacuation:
+		key = MakeKey(KindEvacuation, v.Zone)
 	default:
 		return Object{}, errs.New("config: %T is no configuration object", value)
 	}
@@ -124,6 +130,10 @@
 		return decode[HostRoute](o)
 	case KindFleet:
 		return decode[Fleet](o)
+	case KindTeam:
+		return decode[Team](o)
+	case KindEvacuation:
+		return decode[Evacuation](o)
 	default:
 		return nil, errs.New("config: %q has an unknown kind", o.Key)
 	}
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -83,6 +83,10 @@
 	// accepts from all callers together; 0 means as many as the upstream
 	// announces.
 	Connections int `json:"connections,omitempty"`
+	// ColdTime is how long an upstream is cold after it starts. While it is cold, it
+	// tolerates ColdRate calls per second. 0 means that it tolerates any number.
+	ColdTime Duration `json:"coldTime,omitempty"`
+	ColdRate float64  `json:"coldRate,omitempty"`
 }
 
 // The values of Service.Deadline.
