--- a/internal/call/message.go
+++ b/internal/call/message.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// HeaderCredential holds the credentials of a caller, such as an API key. Its value must
+// never be logged.
+const HeaderCredential = "Authorization"
+
+// HasCredential reports whether a request carries credentials of its caller.
+func HasCredential(h http.Header) bool {
+	_, ok := h[HeaderCredential]
+	return ok
+}
+
 func isHopByHop(name string, connectionHeaders []string) bool {
 	for _, h := range hopByHopHeaders {
 		if name == h {
--- a/internal/caller/logging.go
+++ b/internal/caller/logging.go
@@ -34,6 +34,7 @@
 	p.config.CallLog.Log(logs.ClassRefusal, "msg", "call rejected", "id", info.ID, "host", r.Host, "path", r.URL.Path,
 		"route", route, "service", service, "choice", choice, "run", callErr.Execution, "reason", callErr.Reason, "took", now.Sub(start),
 		"patience", info.Timeout, "retryAfter", callErr.RetryAfter, "load", callErr.Load,
+		"keyed", p.config.Hub.State().Table().Keyed(), "credential", call.HasCredential(r.Header), "nested", info.Parent != nil,
 		"revision", p.config.Hub.State().Revision(), "version", p.config.Hub.State().Table().Fleet().Version)
 }
 
@@ -52,6 +53,7 @@
 	}
 	p.config.CallLog.Log(class, "msg", "call answered", "id", c.id, "route", c.route.Name(), "service", c.service,
 		"choice", c.choice, "status", response.Status, "took", duration, "upstream", response.Duration, "load", response.Load,
+		"keyed", c.state.Table().Keyed(), "anonymous", c.route.Anonymous(), "credential", call.HasCredential(c.request.Header), "nested", c.parent != nil,
 		"revision", c.state.Revision())
 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -106,7 +106,7 @@
 		return nil, callErr
 	}
 	p.config.Counters.Observe("gate_wait", "service", r.announcement.Service, p.config.Clock().Sub(arrived))
-	return p.execute(ctx, r, c)
+	return p.execute(ctx, r, c, arrived)
 }
 
 // acquireSlot waits for a slot until the call's deadline or the end of ctx. It
@@ -139,8 +139,8 @@
 }
 
 // execute sends the call, which must hold a slot. The slot is held until the
-// response body ends.
-func (p *Proxy) execute(ctx context.Context, r *registration, c Call) (*Response, error) {
+// response body ends. arrived is when the call reached this proxy.
+func (p *Proxy) execute(ctx context.Context, r *registration, c Call, arrived time.Time) (*Response, error) {
 	start := p.config.Clock()
 	// A process that was suspended while the call was queued must not execute it
 	// after its deadline.
@@ -150,6 +150,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	p.config.Counters.Add("gate_calls", 1)
+	if call.HasCredential(c.Header) {
+		p.config.Counters.Add("gate_credentials_forwarded", 1)
+		p.config.CallLog.Log(logs.ClassForward, "msg", "call with the caller's credentials sent to upstream", "id", p.config.CallID(c.Header),
+			"upstream", c.Upstream, "route", c.Route, "caller", c.Caller, "nested", c.Urgency.Nested, "waited", start.Sub(arrived))
+	}
 	response, err := r.sender.Send(ctx, c, c.Deadline.Sub(start))
 	duration := p.config.Clock().Sub(start)
 	if err != nil {
