HTTP/1: a request with a malformed header field is rejected

Cause: http.ReadRequest keeps a field whose name has a blank before the colon under that name, and a continuation of the Host line as part of the host. Such a field is in none of the lists of fields that are removed or set, and a server that ignores the blank takes it for the field without it: "Authorization : Token KEY" and "X-Endivewalk-Tenant : NAME" reached upstreams as a caller wrote them.

Change: names, values and the host are checked by RFC 9110; the response is 400.

Measured: TestInvalidRequestIsRejected with five more requests fails before at "A : b" and passes; go test -race ./internal/http1 passes.

--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -147,6 +147,11 @@
 		{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nabcdefghijk\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
 		{"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
 		{"nonsense\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/1.1\r\nHost: h\r\nA : b\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/1.1\r\nHost: h\r\nA b: c\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/1.1\r\nHost: h\r\n A: b\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/1.1\r\nHost: h\r\nA: b\x00c\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/1.1\r\nHost: h\r\nA: b\rB: c\r\n\r\n", http.StatusBadRequest},
 	} {
 		conn, reader := dial(t, address)
 		_, err := conn.Write([]byte(test.request))
--- a/internal/http1/serverconn.go
+++ b/internal/http1/serverconn.go
@@ -10,6 +10,8 @@
 	"runtime/debug"
 	"sync"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // bufferSize is the size, in bytes, of the read and write buffers of a connection.
@@ -222,6 +224,8 @@
 	switch {
 	case r.Host == "":
 		return http.StatusBadRequest, "no Host header"
+	case !httpguts.ValidHostHeader(r.Host), !validFields(r.Header):
+		return http.StatusBadRequest, "malformed header field"
 	case limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes:
 		return http.StatusRequestEntityTooLarge, "body over the limit"
 	case limits.MaxHeaderBytes > 0 && headerSize(r) > limits.MaxHeaderBytes:
@@ -232,6 +236,23 @@
 	return 0, ""
 }
 
+// validFields reports whether all fields have the names and values that RFC 9110 allows.
+// http.ReadRequest keeps names with blanks, which would pass for other fields on the way to
+// a server that ignores the blanks.
+func validFields(h http.Header) bool {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // headerSize returns the approximate size of a request's header in bytes. 20 stands
 // for the rest of the request line and of the Host field, and 4 for the colon, the
 // space and the line end of each field.
