Access: calls of a keyed configuration are decided by their API key, on every way to an upstream

Callers saw: upstreams read the API keys of their callers, got no team's name or the one that the caller wrote, and executed calls without a key that a team holds.

Cause: made configurations with teams acceptable, and nothing acted on them. What goes to upstreams is what no list excludes, and the key was in no list.

Change: internal/access decides on each call. The daemon that takes a call reads the key, removes it from the request and sends the decision on in Endivewalk-Access; the daemon beside the upstream decides itself if the sender did not (a build or a configuration of before), and anew if its configuration is newer, also after the call waited for a slot; the sender decides anew before each attempt. The name of the team is set or removed by the last daemon, whatever came. Without a key that a team holds the answer is 401, on an anonymous route the call counts for nobody, and the team's priority takes precedence. Calls of upstreams are calls like others: the ID of a running call is no permission. Routes of templates need a key of their team.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -36,6 +36,9 @@
 	HeaderOpens    = "Endivewalk-Opens"    // Microseconds for which the upstream would reject such calls.
 	HeaderAfter    = "Endivewalk-After"    // Microseconds after which the upstream may have room for a rejected call.
 	HeaderReached  = "Endivewalk-Reached"  // Set if the error response is that of the upstream itself.
+	// HeaderAccess is the access.Grant of a call, between daemons. A process of an older
+	// build neither sends nor reads it: the inbound proxy then decides by HeaderCredential.
+	HeaderAccess = "Endivewalk-Access"
 )
 
 // Execution states whether an upstream executed a call.
@@ -73,7 +76,12 @@
 	ReasonTooLarge    Reason = "body-too-big"   // The body of the call exceeds the size limit.
 	ReasonLeaving     Reason = "daemon-leaving" // This daemon is shutting down and accepts no new calls.
 	ReasonCallerLeft  Reason = "caller-left"    // The caller closed its connection before it got a response.
+	ReasonNoKey       Reason = "no-key"         // The call shows no API key, and its route needs one.
+	ReasonUnknownKey  Reason = "unknown-key"    // No team holds the API key of the call.
 	ReasonYield       Reason = "yield"          // Shed by priority, because a service that the call needs has no room for it.
+	// ReasonKeysUnconfirmed means that this daemon cannot tell whether the API key of the
+	// call is still held, because its configuration was not confirmed recently enough.
+	ReasonKeysUnconfirmed Reason = "keys-unconfirmed"
 )
 
 // httpStatuses maps reasons to HTTP status codes. Reasons that it lacks have
@@ -81,6 +89,8 @@
 var httpStatuses = map[Reason]int{
 	ReasonNoTeam:      http.StatusBadRequest,
 	ReasonNoRoute:     http.StatusNotFound,
+	ReasonNoKey:       http.StatusUnauthorized,
+	ReasonUnknownKey:  http.StatusUnauthorized,
 	ReasonLimit:       http.StatusTooManyRequests,
 	ReasonDeadline:    http.StatusGatewayTimeout,
 	ReasonBroken:      http.StatusBadGateway,
@@ -100,6 +110,15 @@
 	return http.StatusServiceUnavailable
 }
 
+// Challenge is the value of the header WWW-Authenticate of responses with status 401.
+const Challenge = `Token realm="endivewalk"`
+
+// IsAccess reports whether a call was rejected for its API key. Other upstreams would not
+// be allowed to execute it either.
+func (r Reason) IsAccess() bool {
+	return r == ReasonNoKey || r == ReasonUnknownKey || r == ReasonKeysUnconfirmed
+}
+
 // Error is an error response made by a proxy rather than by an upstream. It
 // implements error, so that the functions of the call path can return it.
 type Error struct {
@@ -141,6 +160,9 @@
 	h.Set(HeaderRun, string(e.Execution))
 	h.Set(HeaderReason, string(e.Reason))
 	h.Set("Content-Type", "application/json")
+	if e.Reason.Status() == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", Challenge)
+	}
 	if e.Load.Limit > 0 {
 		h.Set(HeaderLoad, e.Load.String())
 	}
--- a/internal/call/target.go
+++ b/internal/call/target.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -36,3 +37,11 @@
 	}
 	return path
 }
+
+// HostName returns the value of a Host header without its port.
+func HostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
--- /dev/null
+++ b/internal/caller/access.go
@@ -0,0 +1,80 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/endivewalk/endivewalk/internal/access"
+	"github.com/endivewalk/endivewalk/internal/call"
+	"github.com/endivewalk/endivewalk/internal/expand"
+)
+
+// decideAccess decides whether a call may be made in the configuration t, by the API key that
+// it shows, and counts the decision. In a keyed configuration it removes the key from the
+// request, which from then on may be sent and logged anywhere. a lacks the credential.
+func (p *Proxy) decideAccess(t *expand.Table, r *http.Request, a access.Request) (access.Grant, *call.Error) {
+	if !t.Keyed() {
+		return access.Grant{}, nil
+	}
+	a.Credential = access.CredentialOf(r.Header)
+	delete(r.Header, call.HeaderCredential)
+	grant, err := access.Decide(t, a, p.config.KeysValid())
+	if err != nil {
+		return access.Grant{}, call.NotExecutedError(access.ReasonOf(err))
+	}
+	if grant.Team() != "" {
+		p.config.Counters.Add("calls_of_teams", 1)
+	} else {
+		p.config.Counters.Add("calls_anonymous", 1)
+	}
+	return grant, nil
+}
+
+// renewGrant decides anew on a call before it is sent once more or after it waited: its key
+// may have been withdrawn, and a process that was suspended may not know that.
+func (p *Proxy) renewGrant(c *routedCall) *call.Error {
+	table := p.config.Hub.State().Table()
+	grant, err := c.grant.Renew(table, c.accessRequest(), p.config.KeysValid())
+	if err == nil && grant.Team() != "" && !p.config.KeysValid() {
+		err = access.ErrUnconfirmed
+	}
+	if err != nil {
+		return call.NotExecutedError(access.ReasonOf(err))
+	}
+	if grant.IsDecided() && !c.grant.IsDecided() {
+		delete(c.request.Header, call.HeaderCredential)
+	}
+	c.grant = grant
+	return nil
+}
+
+// accessRequest returns what access decisions need to know of the call. The credential is
+// missing if a decision exists.
+func (c *routedCall) accessRequest() access.Request {
+	if team := c.route.Team(); team != "" {
+		return access.Request{Team: team, Credential: access.CredentialOf(c.request.Header)}
+	}
+	return access.Request{Host: call.HostName(c.request.Host), Path: c.request.URL.Path, Credential: access.CredentialOf(c.request.Header)}
+}
+
+// priorityOf returns the priority of a call: that of its team if it has one, and else that of
+// its route.
+func priorityOf(t *expand.Table, route *expand.Route, g access.Grant) int {
+	if team, ok := t.Team(g.Team()); ok {
+		return team.Priority(route.Priority())
+	}
+	return route.Priority()
+}
+
+// setAccess sets the headers of a call to another daemon that tell what was decided on it.
+func (p *Proxy) setAccess(h http.Header, c *routedCall) {
+	if c.grant.IsDecided() {
+		h.Set(call.HeaderAccess, c.grant.String())
+	}
+	if p.config.TeamHeader == "" {
+		return
+	}
+	h.Del(p.config.TeamHeader)
+	if team := c.grant.Team(); team != "" {
+		h.Set(p.config.TeamHeader, team)
+	}
+}
--- a/internal/caller/dispatch.go
+++ b/internal/caller/dispatch.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/access"
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/http1"
@@ -73,10 +73,14 @@
 	if state.Table().Fleet().Version == 0 {
 		return nil, call.NotExecutedError(call.ReasonNotReady)
 	}
-	route, ok := state.Table().MatchHost(hostName(r.Host), r.URL.Path)
+	route, ok := state.Table().MatchHost(call.HostName(r.Host), r.URL.Path)
 	if !ok {
 		return nil, call.NotExecutedError(call.ReasonNoRoute)
 	}
+	grant, callErr := p.decideAccess(state.Table(), r, access.Request{Host: call.HostName(r.Host), Path: r.URL.Path})
+	if callErr != nil {
+		return nil, callErr
+	}
 	timeout := route.Timeout()
 	if info.Timeout > 0 {
 		timeout = min(timeout, info.Timeout)
@@ -93,8 +97,8 @@
 		id: info.ID, request: r, route: route, state: state, deadline: now.Add(timeout), body: body,
 		elapsed: elapsed,
 		service: p.splitter.pick(route, p.config.Random), caller: info.Caller,
-		urgency: call.Urgency{Priority: route.Priority(), Retry: elapsed > 0},
-		parent:  info.Parent, started: now,
+		urgency: call.Urgency{Priority: priorityOf(state.Table(), route, grant), Retry: elapsed > 0},
+		parent:  info.Parent, started: now, grant: grant,
 	}
 	if info.Parent != nil {
 		c.urgency.Nested, c.urgency.ParentPriority = true, info.Parent.Priority
@@ -102,14 +106,6 @@
 	return c, nil
 }
 
-// hostName returns the value of a Host header without its port.
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
 // objectiveTime returns the time up to which the response meets the latency
 // objective of the route, or the zero time if the route has none. The time that
 // earlier attempts of the caller took counts.
--- a/internal/caller/logging.go
+++ b/internal/caller/logging.go
@@ -26,15 +26,15 @@
 func (p *Proxy) logRejected(r *http.Request, info CallInfo, c *routedCall, start time.Time, callErr *call.Error) {
 	now := p.config.Clock()
 	p.config.Counters.Add("calls_refused_"+string(callErr.Reason), 1)
-	route, service, choice := "", "", move.Reason("")
+	route, service, choice, team := "", "", move.Reason(""), ""
 	if c != nil {
-		route, service, choice = c.route.Name(), c.service, c.choice
+		route, service, choice, team = c.route.Name(), c.service, c.choice, c.grant.Team()
 		p.config.Counters.Observe("call_refused", "reason", string(callErr.Reason), now.Sub(start))
 	}
 	p.config.CallLog.Log(logs.ClassRefusal, "msg", "call rejected", "id", info.ID, "host", r.Host, "path", r.URL.Path,
 		"route", route, "service", service, "choice", choice, "run", callErr.Execution, "reason", callErr.Reason, "took", now.Sub(start),
 		"patience", info.Timeout, "retryAfter", callErr.RetryAfter, "load", callErr.Load,
-		"keyed", p.config.Hub.State().Table().Keyed(), "credential", call.HasCredential(r.Header), "nested", info.Parent != nil,
+		"team", team, "nested", info.Parent != nil,
 		"revision", p.config.Hub.State().Revision(), "version", p.config.Hub.State().Table().Fleet().Version)
 }
 
@@ -53,7 +53,7 @@
 	}
 	p.config.CallLog.Log(class, "msg", "call answered", "id", c.id, "route", c.route.Name(), "service", c.service,
 		"choice", c.choice, "status", response.Status, "took", duration, "upstream", response.Duration, "load", response.Load,
-		"keyed", c.state.Table().Keyed(), "anonymous", c.route.Anonymous(), "credential", call.HasCredential(c.request.Header), "nested", c.parent != nil,
+		"team", c.grant.Team(), "nested", c.parent != nil,
 		"revision", c.state.Revision())
 }
 
--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/access"
 	"github.com/endivewalk/endivewalk/internal/balance"
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/callstats"
@@ -51,6 +52,13 @@
 	Retries RetryPolicy
 	CallLog *logs.Calls    // Calls are not logged if it is nil.
 	Balance balance.Config // New sets its Zone.
+	// KeysValid reports whether the configuration in force was the newest one recently enough
+	// to accept and refuse API keys by it. Nil means that it always is.
+	KeysValid func() bool
+	// TeamHeader is the header in which upstreams get the name of the team that makes a call.
+	// It is set on calls to other daemons as well: an inbound proxy of an older build
+	// forwards it to the upstream and sets none. Empty means that there is none.
+	TeamHeader string
 	// OnUnresponsive is called with a host that acknowledged nothing of a
 	// call. It may be nil.
 	OnUnresponsive func(host string)
@@ -75,6 +83,9 @@
 // arrive.
 func New(c Config) *Proxy {
 	c.Retries = c.Retries.withDefaults()
+	if c.KeysValid == nil {
+		c.KeysValid = func() bool { return true }
+	}
 	c.Balance.Zone = c.Zone
 	return &Proxy{
 		config: c, balancer: balance.New(c.Balance), connPools: newConnPools(c.Clock, c.Counters),
@@ -119,6 +130,7 @@
 	id       string      // The ID of the caller's attempt.
 	choice   move.Reason // Why the call was given its version; empty without a running move.
 	reached  bool        // An attempt has reached an upstream.
+	grant    access.Grant
 }
 
 // ServeHTTP routes a call by its team, method and path, and writes the response
@@ -190,6 +202,10 @@
 	if !state.Table().HasTeam(team) {
 		return nil, call.NotExecutedError(call.ReasonNoTeam)
 	}
+	grant, callErr := p.decideAccess(state.Table(), r, access.Request{Team: team})
+	if callErr != nil {
+		return nil, callErr
+	}
 	route, ok := state.Table().Match(team, r.Method, r.URL.Path)
 	if !ok {
 		return nil, call.NotExecutedError(call.ReasonNoRoute)
@@ -208,7 +224,7 @@
 	}
 	return &routedCall{
 		request: r, route: route, service: route.Service(), state: state, started: now, deadline: now.Add(timeout),
-		depth: call.Depth(r.Header), key: r.Header.Get(call.HeaderKey), body: body,
+		depth: call.Depth(r.Header), key: r.Header.Get(call.HeaderKey), body: body, grant: grant,
 	}, nil
 }
 
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -33,7 +33,7 @@
 			Body: c.body.open(), Length: c.body.length(), Key: c.key,
 			Retryable: c.route.Retryable(), Deadline: c.deadline, Expiry: c.expiry,
 			Route: c.route.Name(), Caller: c.caller, Urgency: c.urgency,
-			Objective: c.objectiveTime(),
+			Objective: c.objectiveTime(), Grant: c.grant, Access: c.accessRequest(),
 		})
 	}
 	return p.sendRemote(c, t)
@@ -98,6 +98,7 @@
 	if team := c.route.Team(); team != "" {
 		r.Header.Set(call.HeaderTeam, team)
 	}
+	p.setAccess(r.Header, c)
 	r.Header.Set(call.HeaderRoute, c.route.Name())
 	r.Header.Set(call.HeaderDepth, strconv.Itoa(c.depth))
 	r.Header.Set(call.HeaderHost, p.config.Host)
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -58,6 +58,10 @@
 		if !now.Before(c.deadline) {
 			return fallbackOr(fallback, unlessUnknown(callErr, call.ReasonDeadline))
 		}
+		if accessErr := p.renewGrant(c); accessErr != nil {
+			p.recordUnsent(running, version)
+			return fallbackOr(fallback, mergeErrors(callErr, accessErr))
+		}
 		target, ok := p.pickTarget(now, c, version, tried, count.fullQueues > 0)
 		if !ok {
 			p.recordUnsent(running, version)
@@ -264,8 +268,8 @@
 
 // mayRetryError reports whether a call may be retried after an error.
 func (p *Proxy) mayRetryError(c *routedCall, callErr *call.Error) bool {
-	if callErr.Reason == call.ReasonYield {
-		return false // Other inbound proxies shed the same fraction of calls.
+	if callErr.Reason == call.ReasonYield || callErr.Reason.IsAccess() {
+		return false // Other inbound proxies shed the same fraction of calls, and know the same keys.
 	}
 	if callErr.Execution == call.NotExecuted {
 		return c.body.rewindable()
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -59,6 +59,9 @@
 	ReportInterval time.Duration      // Between two reports of call statistics of a move. Default: 1 s.
 	Retries        caller.RetryPolicy // Limits retries; zero fields get the defaults of package caller.
 	Balance        balance.Config     // The daemon sets Zone.
+	// TeamHeader is the header in which upstreams get the name of the team that makes a
+	// call; see caller.Config. Senders of NewSender set it themselves.
+	TeamHeader string
 	// CallLog logs calls, and CallID returns the ID of a call. Both may be nil.
 	CallLog *logs.Calls
 	CallID  func(http.Header) string
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/feed"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/upstream"
@@ -80,12 +81,14 @@
 			_, ok := d.hub.State().Table().Service(name)
 			return ok
 		},
+		Table: func() *expand.Table { return d.hub.State().Table() },
 	})
 	d.outbound = caller.New(caller.Config{
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Random: c.Random, Ready: d.hub.Ready,
 		Hub: d.hub, Inbound: d.inbound, CallStats: d.callStats, Counters: c.Counters,
 		TakeQuota: d.takeQuota, Blocked: d.breakers.open, Moves: c.Policy, Claims: d.newClaimClient(incarnation),
 		Retries: c.Retries, Balance: c.Balance, CallLog: c.CallLog, OnUnresponsive: d.Suspect,
+		TeamHeader: c.TeamHeader,
 	})
 	if err := d.listen(); err != nil {
 		d.closeServers()
--- a/internal/expand/team.go
+++ b/internal/expand/team.go
@@ -38,7 +38,13 @@
 
 // TeamOfKey returns the team that holds an API key, and false if there is none.
 func (t *Table) TeamOfKey(key string) (*Team, bool) {
-	team, ok := t.teamsByKey[config.KeyDigest(key)]
+	return t.TeamOfDigest(config.KeyDigest(key))
+}
+
+// TeamOfDigest returns the team that holds the API key with a digest, as of
+// config.KeyDigest, and false if there is none.
+func (t *Table) TeamOfDigest(digest string) (*Team, bool) {
+	team, ok := t.teamsByKey[digest]
 	return team, ok
 }
 
--- a/internal/logs/limiter.go
+++ b/internal/logs/limiter.go
@@ -18,12 +18,11 @@
 	ClassRetry   Class = "retry"   // A call that was retried at another upstream.
 	ClassUnsafe  Class = "unsafe"  // A response to a call that must not be retried.
 	ClassAnswer  Class = "answer"  // Any other response.
-	ClassForward Class = "forward" // A call that reached an upstream with the caller's credentials.
 )
 
 // maxLinesPerSecond is the rate limit of each class. Calls without a response
 // from an upstream get the most lines, ordinary responses the fewest.
-var maxLinesPerSecond = map[Class]int{ClassRefusal: 100, ClassRetry: 50, ClassUnsafe: 50, ClassAnswer: 10, ClassForward: 10}
+var maxLinesPerSecond = map[Class]int{ClassRefusal: 100, ClassRetry: 50, ClassUnsafe: 50, ClassAnswer: 10}
 
 // Limiter limits how many lines of each class are written per second. It reads no clock;
 // the caller passes the time. The zero value is ready to use. It is not safe for
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/access"
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/logs"
@@ -40,8 +41,16 @@
 	Caller    string       // The service beside whose daemon the caller runs.
 	Urgency   call.Urgency // The objective is in Objective instead.
 	Objective time.Time    // Time by which a response is most useful; zero if not known.
+
+	// Grant is what the daemon that took the call from its caller decided on it, and Access
+	// what is needed to decide anew.
+	Grant  access.Grant
+	Access access.Request
 }
 
+// Team returns the name of the team that makes the call, or "" if there is none.
+func (c Call) Team() string { return c.Grant.Team() }
+
 // request returns what the scheduler needs to know of the call. A call without an
 // objective gets its deadline as objective.
 func (c Call) request() request {
@@ -98,7 +107,11 @@
 		return nil, call.NotExecutedError(call.ReasonDraining)
 	}
 	arrived := p.config.Clock()
-	if callErr := p.acquireSlot(ctx, r, c); callErr != nil {
+	callErr := p.renewGrant(&c)
+	if callErr == nil {
+		callErr = p.acquireSlot(ctx, r, c)
+	}
+	if callErr != nil {
 		p.config.Counters.Add("gate_refused_"+string(callErr.Reason), 1)
 		p.config.CallLog.Log(logs.ClassRefusal, "msg", "inbound proxy rejected call", "id", p.config.CallID(c.Header), "upstream", c.Upstream,
 			"route", c.Route, "reason", callErr.Reason, "waited", p.config.Clock().Sub(arrived), "left", c.Deadline.Sub(arrived),
@@ -106,7 +119,25 @@
 		return nil, callErr
 	}
 	p.config.Counters.Observe("gate_wait", "service", r.announcement.Service, p.config.Clock().Sub(arrived))
-	return p.execute(ctx, r, c, arrived)
+	return p.execute(ctx, r, c)
+}
+
+// renewGrant decides on a call if the daemon that took it did not, and anew if the
+// configuration here is newer than the one that it decided by. If there is a decision, the
+// call loses its credentials, which its sender removes unless it is of an older build or its
+// configuration was not keyed yet.
+func (p *Proxy) renewGrant(c *Call) *call.Error {
+	grant, err := c.Grant.Renew(p.config.Table(), c.Access, p.config.KeysValid())
+	if err != nil {
+		return call.NotExecutedError(access.ReasonOf(err))
+	}
+	c.Grant = grant
+	if grant.IsDecided() && call.HasCredential(c.Header) {
+		p.config.Counters.Add("gate_credentials_removed", 1)
+		c.Header = c.Header.Clone() // The caller's request shares it.
+		delete(c.Header, call.HeaderCredential)
+	}
+	return nil
 }
 
 // acquireSlot waits for a slot until the call's deadline or the end of ctx. It
@@ -139,8 +170,8 @@
 }
 
 // execute sends the call, which must hold a slot. The slot is held until the
-// response body ends. arrived is when the call reached this proxy.
-func (p *Proxy) execute(ctx context.Context, r *registration, c Call, arrived time.Time) (*Response, error) {
+// response body ends.
+func (p *Proxy) execute(ctx context.Context, r *registration, c Call) (*Response, error) {
 	start := p.config.Clock()
 	// A process that was suspended while the call was queued must not execute it
 	// after its deadline.
@@ -148,12 +179,15 @@
 		r.scheduler.finish(start, c.Route, 0, true)
 		return nil, call.NotExecutedError(call.ReasonDeadline)
 	}
+	// The configuration may have changed while the call was queued.
+	if callErr := p.renewGrant(&c); callErr != nil {
+		r.scheduler.finish(start, c.Route, 0, true)
+		return nil, callErr
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	p.config.Counters.Add("gate_calls", 1)
 	if call.HasCredential(c.Header) {
-		p.config.Counters.Add("gate_credentials_forwarded", 1)
-		p.config.CallLog.Log(logs.ClassForward, "msg", "call with the caller's credentials sent to upstream", "id", p.config.CallID(c.Header),
-			"upstream", c.Upstream, "route", c.Route, "caller", c.Caller, "nested", c.Urgency.Nested, "waited", start.Sub(arrived))
+		p.config.Counters.Add("gate_credentials_forwarded", 1) // None in a keyed configuration.
 	}
 	response, err := r.sender.Send(ctx, c, c.Deadline.Sub(start))
 	duration := p.config.Clock().Sub(start)
--- a/internal/upstream/proxy.go
+++ b/internal/upstream/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/internal/event"
+	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/logs"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
@@ -121,6 +122,12 @@
 	// for a service that it does not have must not end an upstream of one that it has. Nil
 	// means that all services exist. It is called with a lock held.
 	IsService func(name string) bool
+	// Table returns the configuration in force, which says whether calls need API keys. Nil
+	// means that they do not.
+	Table func() *expand.Table
+	// KeysValid reports whether that was the newest configuration recently enough to accept
+	// and refuse API keys by it. Nil means that it always was.
+	KeysValid func() bool
 	// AwaitRetirements lets calls to upstreams wait until SetRetirements or
 	// ReleaseAnnouncements is called: until then it is not known whether an announcement
 	// is a late one of an upstream that has left. Announcements without a Start are not
@@ -154,6 +161,13 @@
 	if c.NewSender == nil {
 		c.NewSender = newHTTPSender
 	}
+	if c.Table == nil {
+		empty := &expand.Table{}
+		c.Table = func() *expand.Table { return empty }
+	}
+	if c.KeysValid == nil {
+		c.KeysValid = func() bool { return true }
+	}
 	return &Proxy{
 		config: c, upstreams: map[string]*registration{}, ended: map[string]endedUpstream{},
 		awaitsRetirements: c.AwaitRetirements, retirementsKnown: make(chan struct{}),
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -61,6 +61,9 @@
 	}
 	call.CopyHeader(r.Header, c.Header)
 	call.SetKey(r.Header, c.Key)
+	if team := c.Team(); team != "" {
+		r.Header.Set(call.HeaderTeam, team)
+	}
 	// Nested calls of the upstream must end before this call does, and the system
 	// must not retry them on its own.
 	r.Header.Set(call.HeaderTimeout, timeout.String())
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/access"
 	"github.com/endivewalk/endivewalk/internal/call"
 )
 
@@ -44,6 +45,10 @@
 	if err != nil {
 		return Call{}, call.NotExecutedError(call.ReasonBadCall)
 	}
+	grant, err := access.Parse(r.Header.Get(call.HeaderAccess))
+	if err != nil {
+		return Call{}, call.NotExecutedError(call.ReasonBadCall)
+	}
 	c := Call{
 		Upstream: id, Method: r.Method, Host: r.Host, Target: call.Target(r), Header: r.Header, Body: r.Body, Length: r.ContentLength,
 		Key:       r.Header.Get(call.HeaderInnerKey),
@@ -53,6 +58,10 @@
 		Route:     r.Header.Get(call.HeaderRoute),
 		Caller:    r.Header.Get(call.HeaderCaller),
 		Urgency:   urgency,
+		Grant:     grant,
+		Access: access.Request{
+			Host: call.HostName(r.Host), Path: r.URL.Path, Team: r.Header.Get(call.HeaderTeam), Credential: access.CredentialOf(r.Header),
+		},
 	}
 	if urgency.Objective != 0 {
 		c.Objective = now.Add(urgency.Objective)
