Access: no decisions for routes of templates, which no keyed configuration can have

Cause: the first version also decided on calls that name their team in a header.

Change: it goes; the package says why all routes are host routes.

Measured: go test ./internal/access ./internal/caller ./internal/upstream, and the tests of keys in ./platform/daemon pass.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -4,6 +4,9 @@
 // The daemon that takes a call from its caller decides first; what it decided travels with
 // the call as a Grant. The daemon beside the upstream decides anew if the sender did not, or
 // if the configuration has changed since: see Grant.Renew.
+//
+// Only configurations that are replaced as a whole can be keyed, so all their routes are host
+// routes.
 package access
 
 import (
@@ -42,11 +45,8 @@
 
 // Request is what a decision needs to know of a call.
 type Request struct {
-	Host string // The host that routes are matched by, without a port.
-	Path string
-	// Team is the team in whose name the caller makes the call, if the route is one of a
-	// template; then Host and Path are not used. The key must be held by that team.
-	Team       string
+	Host       string // The host that routes are matched by, without a port.
+	Path       string
 	Credential Credential
 }
 
@@ -96,7 +96,7 @@
 		return Grant{}, nil
 	}
 	digest := r.Credential.keyDigest()
-	if team, ok := t.TeamOfDigest(digest); ok && (r.Team == "" || r.Team == team.Name()) {
+	if team, ok := t.TeamOfDigest(digest); ok {
 		if !confirmed && !isAnonymous(t, r) {
 			return Grant{}, ErrUnconfirmed
 		}
@@ -116,9 +116,6 @@
 
 // isAnonymous reports whether calls on the route of r need no key.
 func isAnonymous(t *expand.Table, r Request) bool {
-	if r.Team != "" {
-		return false
-	}
 	route, ok := t.MatchHost(r.Host, r.Path)
 	return ok && route.Anonymous()
 }
--- a/internal/caller/access.go
+++ b/internal/caller/access.go
@@ -50,9 +50,6 @@
 // accessRequest returns what access decisions need to know of the call. The credential is
 // missing if a decision exists.
 func (c *routedCall) accessRequest() access.Request {
-	if team := c.route.Team(); team != "" {
-		return access.Request{Team: team, Credential: access.CredentialOf(c.request.Header)}
-	}
 	return access.Request{Host: call.HostName(c.request.Host), Path: c.request.URL.Path, Credential: access.CredentialOf(c.request.Header)}
 }
 
--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -202,10 +202,6 @@
 	if !state.Table().HasTeam(team) {
 		return nil, call.NotExecutedError(call.ReasonNoTeam)
 	}
-	grant, callErr := p.decideAccess(state.Table(), r, access.Request{Team: team})
-	if callErr != nil {
-		return nil, callErr
-	}
 	route, ok := state.Table().Match(team, r.Method, r.URL.Path)
 	if !ok {
 		return nil, call.NotExecutedError(call.ReasonNoRoute)
@@ -224,7 +220,7 @@
 	}
 	return &routedCall{
 		request: r, route: route, service: route.Service(), state: state, started: now, deadline: now.Add(timeout),
-		depth: call.Depth(r.Header), key: r.Header.Get(call.HeaderKey), body: body, grant: grant,
+		depth: call.Depth(r.Header), key: r.Header.Get(call.HeaderKey), body: body,
 	}, nil
 }
 
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -60,7 +60,7 @@
 		Urgency:   urgency,
 		Grant:     grant,
 		Access: access.Request{
-			Host: call.HostName(r.Host), Path: r.URL.Path, Team: r.Header.Get(call.HeaderTeam), Credential: access.CredentialOf(r.Header),
+			Host: call.HostName(r.Host), Path: r.URL.Path, Credential: access.CredentialOf(r.Header),
 		},
 	}
 	if urgency.Objective != 0 {
