--- a/internal/caller/keyed.go
+++ b/internal/caller/idempotent.go
@@ -16,10 +16,10 @@
 // for retries.
 const maxStoredResponseBytes = 64 << 10
 
-// serveKeyed serves a call with an idempotency key whose route is not retryable.
+// serveIdempotent serves a call with an idempotency key whose route is not retryable.
 // It sends the call only if it gets the claim. A retry by the caller gets the
 // stored response of the first call, or an error if there is none.
-func (p *Proxy) serveKeyed(w http.ResponseWriter, c *routedCall) {
+func (p *Proxy) serveIdempotent(w http.ResponseWriter, c *routedCall) {
 	if c.body.rest != nil {
 		p.reject(w, call.NotExecutedError(call.ReasonTooLarge))
 		return
--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -144,7 +144,7 @@
 	}
 	defer c.body.release()
 	if c.key != "" && !c.route.Retryable() && p.config.Claims != nil {
-		p.serveKeyed(w, c)
+		p.serveIdempotent(w, c)
 		return
 	}
 	response, err := p.serveCall(c)
