Access: a path that servers resolve to another one is not that of an anonymous route

Cause: routes are found by the path as it is written. A call to /open/../safe/ belongs to the anonymous route /open/, and an upstream that resolves the path executes it on /safe/, which needs a key.

Change: a call without a key is granted only if its path has no dot or empty segments, path parameters, backslashes and no escapes of these, of a percent sign or of control bytes. With a key such paths are forwarded as before. Renew itself demands the confirmation of a call that has waited.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -46,7 +46,8 @@
 // Request is what a decision needs to know of a call.
 type Request struct {
 	Host       string // The host that routes are matched by, without a port.
-	Path       string
+	Path       string // Without escapes.
+	Escaped    string // The path as the caller wrote it.
 	Credential Credential
 }
 
@@ -61,6 +62,11 @@
 // scheme is the authentication scheme of API keys. Schemes ignore case.
 const scheme = "Token"
 
+// RequestOf returns what a decision needs to know of a request that a server has read.
+func RequestOf(r *http.Request) Request {
+	return Request{Host: call.HostName(r.Host), Path: r.URL.Path, Escaped: r.URL.EscapedPath(), Credential: CredentialOf(r.Header)}
+}
+
 // CredentialOf returns the credential in the header of a request. More than one field, another
 // scheme and more than one word after it are a credential that holds no key.
 func CredentialOf(h http.Header) Credential {
@@ -114,8 +120,12 @@
 	}
 }
 
-// isAnonymous reports whether calls on the route of r need no key.
+// isAnonymous reports whether r needs no key: its route is anonymous, and its path belongs to
+// that route for every server.
 func isAnonymous(t *expand.Table, r Request) bool {
+	if !isPlain(r.Escaped) {
+		return false
+	}
 	route, ok := t.MatchHost(r.Host, r.Path)
 	return ok && route.Anonymous()
 }
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"testing"
 	"time"
 
@@ -44,7 +45,11 @@
 	if authorization != "" {
 		h.Set("Authorization", authorization)
 	}
-	return access.Request{Host: "h", Path: path, Credential: access.CredentialOf(h)}
+	u, err := url.Parse("http://h" + path)
+	if err != nil {
+		panic(err)
+	}
+	return access.RequestOf(&http.Request{Host: "h:80", URL: u, Header: h})
 }
 
 // Guards against keys that are refused as unknown, or accepted, by a configuration that may
@@ -74,6 +79,8 @@
 	g, err = access.Parse(g.String())
 	require.NoError(t, err)
 
+	_, err = g.Renew(old, request("/x", ""), false)
+	require.ErrorIs(t, err, access.ErrUnconfirmed, "a process that was suspended")
 	_, err = g.Renew(withdrawn, request("/x", ""), true)
 	require.ErrorIs(t, err, access.ErrUnknownKey)
 	same, err := g.Renew(table(t, 4, true, nil), request("/x", ""), true)
@@ -102,3 +109,23 @@
 		require.ErrorIs(t, err, access.ErrBadGrant, text)
 	}
 }
+
+// Guards against a path that begins like an anonymous route and that a server resolves to
+// another one, which needs a key.
+func TestAnonymousRouteDoesNotCoverPathsThatServersResolve(t *testing.T) {
+	keyed := table(t, 1, true, map[string]string{"k": "a"})
+	for _, path := range []string{"/open/", "/open/x", "/open/x/", "/open/a.b/..c", "/open/%41%C3%A9", "/open/x?q=/../y"} {
+		_, err := access.Decide(keyed, request(path, ""), true)
+		require.NoError(t, err, path)
+	}
+	for _, path := range []string{
+		"/open/../x", "/open/./../x", "/open/..", "/open/%2e%2e/x", "/open/.%2E/x", "/open/..%2fx", "/open/..;/x", "/open/x;/../y", "/open//../x",
+		"/open//x", "/open/%252e%252e/x", "/open/..%5cx", "/open%2Fx", "/open/%00x", "/open/%0d%0ax", "/open/%7fx", "//open/x",
+	} {
+		_, err := access.Decide(keyed, request(path, ""), true)
+		require.ErrorIs(t, err, access.ErrNoKey, path)
+		g, err := access.Decide(keyed, request(path, "Token k"), true)
+		require.NoError(t, err, path)
+		require.Equal(t, "a", g.Team(), path)
+	}
+}
--- a/internal/access/grant.go
+++ b/internal/access/grant.go
@@ -36,20 +36,23 @@
 func (g Grant) Team() string { return g.team }
 
 // Renew decides anew on a call if nothing was decided yet or if t is newer than the
-// configuration of the decision. A key may have been withdrawn since, or given to another
-// team, while the call waited or on its way. confirmed is as for Decide; a decision that
-// exists is renewed without it, since it cannot become less strict. The error is one of this package.
+// configuration of the decision: a key may have been withdrawn since, or given to another team,
+// while the call waited or on its way. confirmed is as for Decide; a call with a key that has
+// waited needs it again, unless its route is anonymous. The error is one of this package.
 func (g Grant) Renew(t *expand.Table, r Request, confirmed bool) (Grant, error) {
 	if !g.IsDecided() {
 		return Decide(t, r, confirmed)
 	}
+	if g.kind == kindKey && !confirmed && !isAnonymous(t, r) {
+		return Grant{}, ErrUnconfirmed
+	}
 	if !t.Keyed() || t.Revision() <= g.revision {
 		return g, nil
 	}
 	if g.kind == kindKey {
 		r.Credential = Credential{shown: true, digest: g.digest}
 	}
-	return Decide(t, r, true)
+	return Decide(t, r, confirmed)
 }
 
 // String returns the grant for a header between daemons, which Parse reads. It holds no key
--- a/internal/caller/access.go
+++ b/internal/caller/access.go
@@ -10,12 +10,12 @@
 
 // decideAccess decides whether a call may be made in the configuration t, by the API key that
 // it shows, and counts the decision. In a keyed configuration it removes the key from the
-// request, which from then on may be sent and logged anywhere. a lacks the credential.
-func (p *Proxy) decideAccess(t *expand.Table, r *http.Request, a access.Request) (access.Grant, *call.Error) {
+// request, which from then on may be sent and logged anywhere.
+func (p *Proxy) decideAccess(t *expand.Table, r *http.Request) (access.Grant, *call.Error) {
 	if !t.Keyed() {
 		return access.Grant{}, nil
 	}
-	a.Credential = access.CredentialOf(r.Header)
+	a := access.RequestOf(r)
 	delete(r.Header, call.HeaderCredential)
 	grant, err := access.Decide(t, a, p.config.KeysValid())
 	if err != nil {
@@ -32,11 +32,7 @@
 // renewGrant decides anew on a call before it is sent once more or after it waited: its key
 // may have been withdrawn, and a process that was suspended may not know that.
 func (p *Proxy) renewGrant(c *routedCall) *call.Error {
-	table := p.config.Hub.State().Table()
-	grant, err := c.grant.Renew(table, c.accessRequest(), p.config.KeysValid())
-	if err == nil && grant.Team() != "" && !p.config.KeysValid() {
-		err = access.ErrUnconfirmed
-	}
+	grant, err := c.grant.Renew(p.config.Hub.State().Table(), access.RequestOf(c.request), p.config.KeysValid())
 	if err != nil {
 		return call.NotExecutedError(access.ReasonOf(err))
 	}
@@ -47,12 +43,6 @@
 	return nil
 }
 
-// accessRequest returns what access decisions need to know of the call. The credential is
-// missing if a decision exists.
-func (c *routedCall) accessRequest() access.Request {
-	return access.Request{Host: call.HostName(c.request.Host), Path: c.request.URL.Path, Credential: access.CredentialOf(c.request.Header)}
-}
-
 // priorityOf returns the priority of a call: that of its team if it has one, and else that of
 // its route.
 func priorityOf(t *expand.Table, route *expand.Route, g access.Grant) int {
--- a/internal/caller/dispatch.go
+++ b/internal/caller/dispatch.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/endivewalk/endivewalk/internal/access"
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/expand"
 	"github.com/endivewalk/endivewalk/internal/http1"
@@ -77,7 +76,7 @@
 	if !ok {
 		return nil, call.NotExecutedError(call.ReasonNoRoute)
 	}
-	grant, callErr := p.decideAccess(state.Table(), r, access.Request{Host: call.HostName(r.Host), Path: r.URL.Path})
+	grant, callErr := p.decideAccess(state.Table(), r)
 	if callErr != nil {
 		return nil, callErr
 	}
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/access"
 	"github.com/endivewalk/endivewalk/internal/call"
 	"github.com/endivewalk/endivewalk/internal/feed"
 	"github.com/endivewalk/endivewalk/internal/upstream"
@@ -33,7 +34,7 @@
 			Body: c.body.open(), Length: c.body.length(), Key: c.key,
 			Retryable: c.route.Retryable(), Deadline: c.deadline, Expiry: c.expiry,
 			Route: c.route.Name(), Caller: c.caller, Urgency: c.urgency,
-			Objective: c.objectiveTime(), Grant: c.grant, Access: c.accessRequest(),
+			Objective: c.objectiveTime(), Grant: c.grant, Access: access.RequestOf(c.request),
 		})
 	}
 	return p.sendRemote(c, t)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -127,7 +127,9 @@
 // call loses its credentials, which its sender removes unless it is of an older build or its
 // configuration was not keyed yet.
 func (p *Proxy) renewGrant(c *Call) *call.Error {
-	grant, err := c.Grant.Renew(p.config.Table(), c.Access, p.config.KeysValid())
+	// The daemon that took the call has confirmed a decision that exists.
+	confirmed := c.Grant.IsDecided() || p.config.KeysValid()
+	grant, err := c.Grant.Renew(p.config.Table(), c.Access, confirmed)
 	if err != nil {
 		return call.NotExecutedError(access.ReasonOf(err))
 	}
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -59,9 +59,7 @@
 		Caller:    r.Header.Get(call.HeaderCaller),
 		Urgency:   urgency,
 		Grant:     grant,
-		Access: access.Request{
-			Host: call.HostName(r.Host), Path: r.URL.Path, Credential: access.CredentialOf(r.Header),
-		},
+		Access:    access.RequestOf(r),
 	}
 	if urgency.Objective != 0 {
 		c.Objective = now.Add(urgency.Objective)
