--- a/internal/call/message.go
+++ b/internal/call/message.go
@@ -17,16 +17,23 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// headerPrefix starts the names of the headers that the proxies set.
-const headerPrefix = "Endivewalk-"
+// headerPrefix starts the names of the headers that the proxies set. A hyphen or an
+// underscore follows: some servers do not distinguish the two.
+const headerPrefix = "Endivewalk"
+
+// isOwn reports whether a header is one that only the proxies set.
+func isOwn(name string) bool {
+	rest, ok := strings.CutPrefix(name, headerPrefix)
+	return ok && (strings.HasPrefix(rest, "-") || strings.HasPrefix(rest, "_"))
+}
 
 // CopyHeader copies the end-to-end headers of a message. It omits hop-by-hop
-// headers, those that the Connection header names, and all headers that start
-// with Endivewalk-. The copied values are shared with from.
+// headers, those that the Connection header names, and all that only the proxies
+// set. The copied values are shared with from.
 func CopyHeader(to, from http.Header) {
 	connectionHeaders := from["Connection"]
 	for name, values := range from {
-		if strings.HasPrefix(name, headerPrefix) || isHopByHop(name, connectionHeaders) {
+		if isOwn(name) || isHopByHop(name, connectionHeaders) {
 			continue
 		}
 		to[name] = values
