Access: decisions state their revision also where no keys are needed; anonymous paths are those of every resolution

Cause, found by review: a daemon without a configuration executed calls of older daemons, keys included, from the 6th second on; an older keyed configuration overruled a newer one that is not keyed, with a final 401. The check of paths looked at re-escaped bytes in place of those that are forwarded (/open%2Fx| passed), and refused /open/50%25 or /open/a//b, which stay below their route however they are resolved.

Change: a grant of kind open carries the revision; without any configuration a call that nobody decided on is not ready. A path without a key is followed through decoding, parameters, empty and dot segments, and needs a key only where it may leave the anonymous routes. A refusal after the wait for a slot is counted and logged, and the line of a refused key names the route. A call whose key moves gets the priority of the new team.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -26,6 +26,8 @@
 	ErrNoKey = errs.New("access: the call shows no API key")
 	// ErrUnknownKey means that no team holds the key.
 	ErrUnknownKey = errs.New("access: no team holds the API key")
+	// ErrNoConfiguration means that there is no configuration to decide by.
+	ErrNoConfiguration = errs.New("access: no configuration is in force")
 	// ErrUnconfirmed means that the configuration may be too old to decide by.
 	ErrUnconfirmed = errs.New("access: the configuration has not been confirmed recently enough")
 )
@@ -38,6 +40,8 @@
 		return call.ReasonNoKey
 	case ErrUnknownKey:
 		return call.ReasonUnknownKey
+	case ErrNoConfiguration:
+		return call.ReasonNotReady
 	default:
 		return call.ReasonKeysUnconfirmed
 	}
@@ -47,7 +51,7 @@
 type Request struct {
 	Host       string // The host that routes are matched by, without a port.
 	Path       string // Without escapes.
-	Escaped    string // The path as the caller wrote it.
+	Escaped    string // The path as the caller wrote it, and as the upstream gets it.
 	Credential Credential
 }
 
@@ -64,7 +68,8 @@
 
 // RequestOf returns what a decision needs to know of a request that a server has read.
 func RequestOf(r *http.Request) Request {
-	return Request{Host: call.HostName(r.Host), Path: r.URL.Path, Escaped: r.URL.EscapedPath(), Credential: CredentialOf(r.Header)}
+	escaped, _, _ := strings.Cut(call.Target(r), "?")
+	return Request{Host: call.HostName(r.Host), Path: r.URL.Path, Escaped: escaped, Credential: CredentialOf(r.Header)}
 }
 
 // CredentialOf returns the credential in the header of a request. More than one field, another
@@ -78,7 +83,7 @@
 	if len(values) != 1 {
 		return c
 	}
-	words := strings.Fields(values[0])
+	words := strings.FieldsFunc(values[0], func(r rune) bool { return r == ' ' || r == '\t' })
 	if len(words) == 2 && strings.EqualFold(words[0], scheme) {
 		c.key = words[1]
 	}
@@ -98,8 +103,11 @@
 // route is always granted, and counts for the team whose key it shows, if any. The error is
 // one of this package.
 func Decide(t *expand.Table, r Request, confirmed bool) (Grant, error) {
-	if !t.Keyed() {
-		return Grant{}, nil
+	switch {
+	case t.Revision() == 0:
+		return Grant{}, ErrNoConfiguration
+	case !t.Keyed():
+		return Grant{kind: kindOpen, revision: t.Revision()}, nil
 	}
 	digest := r.Credential.keyDigest()
 	if team, ok := t.TeamOfDigest(digest); ok {
@@ -121,11 +129,8 @@
 }
 
 // isAnonymous reports whether r needs no key: its route is anonymous, and its path belongs to
-// that route for every server.
+// such a route for every server.
 func isAnonymous(t *expand.Table, r Request) bool {
-	if !isPlain(r.Escaped) {
-		return false
-	}
 	route, ok := t.MatchHost(r.Host, r.Path)
-	return ok && route.Anonymous()
+	return ok && route.Anonymous() && isAnonymousTarget(t, r.Host, route, r.Escaped)
 }
--- a/internal/access/grant.go
+++ b/internal/access/grant.go
@@ -17,11 +17,11 @@
 const (
 	kindKey       kind = "key"       // A team holds the key that the caller showed.
 	kindAnonymous kind = "anonymous" // The route needs no key.
+	kindOpen      kind = "open"      // The configuration is not keyed.
 )
 
 // Grant says for which team a call may be made. The zero value is that of a call on which
-// nothing was decided, because the configuration was not keyed or by a process of an older
-// build, which cannot decide. It is immutable.
+// nothing was decided, by a process of an older build. It is immutable.
 type Grant struct {
 	kind     kind
 	revision config.Revision // Of the configuration by which it was decided.
@@ -29,9 +29,13 @@
 	team     string
 }
 
-// IsDecided reports whether the call was decided on by a keyed configuration.
+// IsDecided reports whether the call was decided on.
 func (g Grant) IsDecided() bool { return g.kind != "" }
 
+// IsKeyed reports whether the call was decided on by a keyed configuration, so that its
+// credentials must not be sent on.
+func (g Grant) IsKeyed() bool { return g.kind == kindKey || g.kind == kindAnonymous }
+
 // Team returns the name of the team that makes the call, or "" if there is none.
 func (g Grant) Team() string { return g.team }
 
@@ -86,7 +90,7 @@
 	}
 	g := Grant{kind: kind(words[0]), revision: config.Revision(revision)}
 	switch {
-	case g.kind == kindAnonymous && len(words) == 2:
+	case (g.kind == kindAnonymous || g.kind == kindOpen) && len(words) == 2:
 		return g, nil
 	case g.kind == kindKey && len(words) == 4 && words[2] != "" && config.ValidName(words[3]):
 		g.digest, g.team = words[2], words[3]
--- a/internal/access/path.go
+++ b/internal/access/path.go
@@ -1,40 +1,75 @@
 package access
 
-import "strings"
+import (
+	"net/url"
+	"strings"
+	"unicode/utf8"
 
-// isPlain reports whether every server takes a path to be below the prefixes that it begins
-// with. A server may resolve dot segments, drop empty segments and path parameters, decode
-// escapes twice or take a backslash for a slash, and so execute a call on another path than
-// the one that its route was found by. escaped is the path as the caller wrote it.
-func isPlain(escaped string) bool {
-	if !strings.HasPrefix(escaped, "/") || strings.ContainsAny(escaped, "\\;") {
+	"github.com/endivewalk/endivewalk/internal/expand"
+)
+
+// maxUnescapes is how often servers are assumed to decode escapes, and one more.
+const maxUnescapes = 3
+
+// isAnonymousTarget reports whether a path belongs to an anonymous route for every server.
+// path is as the caller wrote it, and as the upstream gets it, while the route is found by
+// what it says literally. A server may resolve dot segments, drop empty segments and path
+// parameters, decode escapes more than once, take a backslash for a slash or end the path at
+// a number sign, and so execute the call on a path that belongs to another route.
+func isAnonymousTarget(t *expand.Table, host string, route *expand.Route, path string) bool {
+	prefix := route.Path()
+	suffix, ok := strings.CutPrefix(path, prefix)
+	if !ok {
+		escaped := url.URL{Path: prefix}
+		suffix, ok = strings.CutPrefix(path, escaped.EscapedPath())
+	}
+	if !ok {
 		return false
 	}
-	segments := strings.Split(escaped[1:], "/")
-	for i, s := range segments {
-		last := i == len(segments)-1
-		if s == "." || s == ".." || s == "" && !last || hasStructuralEscape(s) {
-			return false
-		}
+	isAnonymous := func(suffix string) bool {
+		r, ok := t.MatchHost(host, prefix+suffix)
+		return ok && r.Anonymous()
 	}
-	return true
-}
-
-// hasStructuralEscape reports whether a segment has an escape of a character by which servers
-// divide paths, of a percent sign or of a control byte.
-func hasStructuralEscape(segment string) bool {
-	for {
-		_, rest, found := strings.Cut(segment, "%")
-		if !found {
+	for level := range maxUnescapes {
+		resolved, ok := resolve(suffix)
+		if !ok || !isAnonymous(suffix) || !isAnonymous(resolved) {
 			return false
 		}
-		if len(rest) < 2 || rest[0] < '2' {
-			return true // Malformed, or below 0x20.
+		next, err := url.PathUnescape(suffix)
+		if err != nil {
+			return level > 0 // What was decoded need not be an escape itself.
 		}
-		switch strings.ToLower(rest[:2]) {
-		case "2e", "2f", "25", "3b", "5c", "7f":
+		if next == suffix {
 			return true
 		}
-		segment = rest
+		suffix = next
 	}
+	return false
 }
+
+// resolve returns what a server may take the rest of a path for. It returns false if that may
+// lie above the rest's place, or if the rest has bytes that servers treat differently.
+func resolve(suffix string) (string, bool) {
+	if !utf8.ValidString(suffix) || strings.ContainsFunc(suffix, isControl) {
+		return "", false
+	}
+	suffix, _, _ = strings.Cut(strings.ReplaceAll(suffix, `\`, "/"), "#")
+	var kept []string
+	for _, segment := range strings.Split(suffix, "/") {
+		segment, _, _ = strings.Cut(segment, ";")
+		switch strings.ReplaceAll(segment, " ", "") {
+		case "..":
+			return "", false
+		case ".", "":
+		default:
+			kept = append(kept, segment)
+		}
+	}
+	resolved := strings.Join(kept, "/")
+	if strings.HasSuffix(suffix, "/") && resolved != "" {
+		resolved += "/"
+	}
+	return resolved, true
+}
+
+func isControl(r rune) bool { return r < ' ' || r == 0x7f }
--- a/internal/caller/access.go
+++ b/internal/caller/access.go
@@ -12,20 +12,19 @@
 // it shows, and counts the decision. In a keyed configuration it removes the key from the
 // request, which from then on may be sent and logged anywhere.
 func (p *Proxy) decideAccess(t *expand.Table, r *http.Request) (access.Grant, *call.Error) {
-	if !t.Keyed() {
-		return access.Grant{}, nil
-	}
-	a := access.RequestOf(r)
-	delete(r.Header, call.HeaderCredential)
-	grant, err := access.Decide(t, a, p.config.KeysValid())
+	grant, err := access.Decide(t, access.RequestOf(r), p.config.KeysValid())
 	if err != nil {
 		return access.Grant{}, call.NotExecutedError(access.ReasonOf(err))
 	}
-	if grant.Team() != "" {
+	switch {
+	case !grant.IsKeyed():
+		return grant, nil
+	case grant.Team() != "":
 		p.config.Counters.Add("calls_of_teams", 1)
-	} else {
+	default:
 		p.config.Counters.Add("calls_anonymous", 1)
 	}
+	delete(r.Header, call.HeaderCredential)
 	return grant, nil
 }
 
@@ -36,9 +35,12 @@
 	if err != nil {
 		return call.NotExecutedError(access.ReasonOf(err))
 	}
-	if grant.IsDecided() && !c.grant.IsDecided() {
+	if grant.IsKeyed() {
 		delete(c.request.Header, call.HeaderCredential)
 	}
+	if grant.Team() != c.grant.Team() {
+		c.urgency.Priority = priorityOf(p.config.Hub.State().Table(), c.route, grant)
+	}
 	c.grant = grant
 	return nil
 }
--- a/internal/caller/logging.go
+++ b/internal/caller/logging.go
@@ -30,6 +30,8 @@
 	if c != nil {
 		route, service, choice, team = c.route.Name(), c.service, c.choice, c.grant.Team()
 		p.config.Counters.Observe("call_refused", "reason", string(callErr.Reason), now.Sub(start))
+	} else if found, ok := p.config.Hub.State().Table().MatchHost(call.HostName(r.Host), r.URL.Path); ok {
+		route = found.Name()
 	}
 	p.config.CallLog.Log(logs.ClassRefusal, "msg", "call rejected", "id", info.ID, "host", r.Host, "path", r.URL.Path,
 		"route", route, "service", service, "choice", choice, "run", callErr.Execution, "reason", callErr.Reason, "took", now.Sub(start),
--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -206,6 +206,10 @@
 	if !ok {
 		return nil, call.NotExecutedError(call.ReasonNoRoute)
 	}
+	grant, callErr := p.decideAccess(state.Table(), r)
+	if callErr != nil {
+		return nil, callErr
+	}
 	timeout, callErr := timeoutOf(r, route)
 	if callErr != nil {
 		return nil, callErr
@@ -220,7 +224,7 @@
 	}
 	return &routedCall{
 		request: r, route: route, service: route.Service(), state: state, started: now, deadline: now.Add(timeout),
-		depth: call.Depth(r.Header), key: r.Header.Get(call.HeaderKey), body: body,
+		depth: call.Depth(r.Header), key: r.Header.Get(call.HeaderKey), body: body, grant: grant,
 	}, nil
 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -123,10 +123,13 @@
 }
 
 // renewGrant decides on a call if the daemon that took it did not, and anew if the
-// configuration here is newer than the one that it decided by. If there is a decision, the
+// configuration here is newer than the one that it decided by. By a keyed configuration the
 // call loses its credentials, which its sender removes unless it is of an older build or its
 // configuration was not keyed yet.
 func (p *Proxy) renewGrant(c *Call) *call.Error {
+	if p.config.Table == nil {
+		return nil
+	}
 	// The daemon that took the call has confirmed a decision that exists.
 	confirmed := c.Grant.IsDecided() || p.config.KeysValid()
 	grant, err := c.Grant.Renew(p.config.Table(), c.Access, confirmed)
@@ -134,7 +137,7 @@
 		return call.NotExecutedError(access.ReasonOf(err))
 	}
 	c.Grant = grant
-	if grant.IsDecided() && call.HasCredential(c.Header) {
+	if grant.IsKeyed() && call.HasCredential(c.Header) {
 		p.config.Counters.Add("gate_credentials_removed", 1)
 		c.Header = c.Header.Clone() // The caller's request shares it.
 		delete(c.Header, call.HeaderCredential)
@@ -184,6 +187,9 @@
 	// The configuration may have changed while the call was queued.
 	if callErr := p.renewGrant(&c); callErr != nil {
 		r.scheduler.finish(start, c.Route, 0, true)
+		p.config.Counters.Add("gate_refused_"+string(callErr.Reason), 1)
+		p.config.CallLog.Log(logs.ClassRefusal, "msg", "inbound proxy rejected call", "id", p.config.CallID(c.Header), "upstream", c.Upstream,
+			"route", c.Route, "reason", callErr.Reason, "team", c.Team())
 		return nil, callErr
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
--- a/internal/upstream/proxy.go
+++ b/internal/upstream/proxy.go
@@ -161,10 +161,6 @@
 	if c.NewSender == nil {
 		c.NewSender = newHTTPSender
 	}
-	if c.Table == nil {
-		empty := &expand.Table{}
-		c.Table = func() *expand.Table { return empty }
-	}
 	if c.KeysValid == nil {
 		c.KeysValid = func() bool { return true }
 	}
