Source, feed: a configuration is accepted, and handed on, only where it is carried out

Cause: daemons of older builds decode a keyed configuration, ignore its teams and acknowledge it. Nothing told the source or a parent which daemons enforce it.

Change: config.Feature names what a configuration may require: API keys, and limits of teams. A daemon declares the features of its build in its directory record, its pulls, its notices and its acknowledgements.

The leader refuses a replacement with ErrNotEnforced, before it is in the log, while a live daemon lacks a feature that the configuration in force does not require yet. What the configuration in force requires is left out: daemons without it get no configuration anyway, and must not prevent the withdrawal of a key. Daemons that are not known yet are not waited for, and those that are gone or have stopped do not count. A resent request that was accepted gets its outcome.

Relays of older builds drop the field from records, and as digests of records leave it out no exchange restores it. Therefore acknowledgements, which every process on the way combines anew, hold the features that all daemons below declare, and overrule the records if they cover all live daemons. An older process on the way leaves them empty, which refuses the configuration until that process is updated.

A parent sends no configuration to a child that lacks a feature, and replies with a wait and the age of a lost contact. Older children know both: a starting one does not reach its minimum revision and stays not ready, and neither it nor those below it take their configuration for the newest; these look for another parent. A daemon also refuses a configuration that it does not carry out and that an older parent sends.

A positive rate for cold upstreams, which nothing carries out, is refused on the leader, apart from Command.Check: replicas decide by that on entries of older builds, and must reach the same state. Objects that are in force stay readable.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -19,6 +19,7 @@
 	"github.com/endivewalk/endivewalk/internal/move"
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/upstream"
+	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
 // Addresses holds the addresses that a daemon listens on, each an IP address and a
@@ -70,9 +71,12 @@
 	// announced slots.
 	NewSender  func(upstream.Announcement) upstream.Sender
 	FixedLimit bool
-	Logger     log.Logger
-	Events     *event.Ring
-	Counters   *count.Set
+	// Features are those that the daemon declares. Nil means all of this build; an empty
+	// list, which tests use, those of builds before there were any.
+	Features []config.Feature
+	Logger   log.Logger
+	Events   *event.Ring
+	Counters *count.Set
 }
 
 // Claims configures the claim replicas: the daemons that store the claims of calls
@@ -104,6 +108,9 @@
 	if c.Claims.Lifetime == 0 {
 		c.Claims.Lifetime = defaultClaimLifetime
 	}
+	if c.Features == nil {
+		c.Features = config.Features()
+	}
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,7 +63,8 @@
 	// The incarnation orders the records of this host; the instance differs each
 	// time the process starts.
 	incarnation := uint64(now.UnixMilli())
-	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters, OnOwnRecord: d.resume})
+	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters, OnOwnRecord: d.resume,
+		Features: c.Features, OnWithheld: d.recordWithheld})
 	d.newClaimService()
 	d.witness = witness.NewService(d.hub.Instance())
 	d.callStats = callstats.NewCounter(c.Host, incarnation)
@@ -72,7 +73,7 @@
 	d.feedClient = feed.NewClient(feed.ClientConfig{
 		Host: c.Host, Zone: c.Zone, Sources: c.Sources, Shape: c.Shape,
 		Clock: c.Clock, Random: c.Random, Dial: c.Dial, Traffic: &d.traffic,
-		OnRejected: d.recordRejectedRevision, OnParent: d.recordParent,
+		Features: c.Features, OnWithheld: d.recordOwnWithheld, OnRejected: d.recordRejectedRevision, OnParent: d.recordParent,
 		MinRevision: feed.MinRevisionConfig{Witnesses: c.Witnesses, OnConfirmation: d.recordConfirmation}, OnRetirements: d.setRetirements,
 	}, d.hub)
 	d.inbound = upstream.New(upstream.Config{Clock: c.Clock, Counters: c.Counters, Events: c.Events, OnChange: d.renewRecord,
@@ -97,6 +98,7 @@
 	d.record.init(directory.Record{
 		Host: c.Host, Incarnation: incarnation, Zone: c.Zone,
 		Peer: d.addresses.Peer, Gate: d.addresses.Inbound, Local: d.addresses.Local,
+		Features: c.Features,
 	})
 	d.renewRecord()
 	d.publishGauges()
--- a/internal/directory/record.go
+++ b/internal/directory/record.go
@@ -58,6 +58,10 @@
 	Gate        string     `json:"gate"`  // Address of the inbound proxy.
 	Local       string     `json:"local"` // Address for counters, events and announcements.
 	Upstreams   []Upstream `json:"upstreams,omitempty"`
+	// Features are those that the daemon carries out. Daemons of older builds declare none,
+	// and drop the field from the records that they pass on, so a missing feature does not
+	// prove that the daemon lacks it.
+	Features []config.Feature `json:"features,omitempty"`
 }
 
 // ErrInvalid means that a record is malformed or exceeds a limit. Check returns
--- a/internal/expand/team.go
+++ b/internal/expand/team.go
@@ -36,6 +36,16 @@
 // anonymous.
 func (t *Table) Keyed() bool { return t.fleet.Keyed }
 
+// Requires returns the features that a daemon must have to carry out the configuration;
+// see config.Config.Requires.
+func (t *Table) Requires() []config.Feature {
+	limited := false
+	for _, team := range t.teams {
+		limited = limited || team.Rate() > 0
+	}
+	return config.RequiredFeatures(t.fleet.Keyed, limited)
+}
+
 // TeamOfKey returns the team that holds an API key, and false if there is none.
 func (t *Table) TeamOfKey(key string) (*Team, bool) {
 	return t.TeamOfDigest(config.KeyDigest(key))
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -39,9 +39,15 @@
 	Random  func() float64 // A random number in [0, 1), for jitter.
 	Dial    peer.Dial      // Nil means peer.DialTCP.
 	Traffic *peer.Traffic  // Counts the bytes sent and received; required.
-	// OnRejected is called with a revision whose configuration is invalid. It may be
-	// nil.
+	// Features are those that the daemon carries out. A configuration that requires others
+	// is not put in force.
+	Features []config.Feature
+	// OnRejected is called with a revision whose configuration is invalid, or, with an error
+	// that matches ErrWithheld, requires features that the daemon lacks. It may be nil.
 	OnRejected func(config.Revision, error)
+	// OnWithheld is called when the parent begins to withhold its configuration, with the
+	// features that the daemon lacks, and with none when that ends. It may be nil.
+	OnWithheld func(missing []config.Feature)
 	// OnParent is called with the parent's address at the first reply of a new
 	// parent, or of the same one after it has restarted. It may be nil.
 	OnParent    func(address string)
@@ -72,7 +78,8 @@
 	parentCursor Cursor                   // The position in the hub's changes when it became the parent.
 	choice       parentChoice
 
-	// The next three are used by RunPull only.
+	// The next four are used by RunPull only.
+	isWithheld     bool      // The last reply withheld the configuration.
 	parentInstance uint64    // 0 before the parent's first reply.
 	parentIndex    uint64    // The newest of the parent's directory changes that was received.
 	differsSince   time.Time // Since when the parent's directory differs; zero if it does not.
@@ -166,7 +173,7 @@
 // probe checks whether an unreachable candidate can be reached again, and records
 // the result.
 func (c *Client) probe(address string) {
-	err := c.client(address).Call("Feed.Notice", NoticeArgs{Host: c.config.Host}, &NoticeReply{}, probeTimeout)
+	err := c.client(address).Call("Feed.Notice", NoticeArgs{Host: c.config.Host, Features: c.config.Features}, &NoticeReply{}, probeTimeout)
 	c.choice.recordResult(c.config.Clock(), address, err, c.config.Random())
 }
 
@@ -234,7 +241,7 @@
 	args := PullArgs{
 		Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest(),
 		Instance: c.parentInstance, Index: c.parentIndex, Records: c.hub.RecordsDigest(), Wait: pullWait,
-		Sources: directory.DigestSources(c.hub.Sources()),
+		Sources: directory.DigestSources(c.hub.Sources()), Features: c.config.Features,
 	}
 	if !directory.HasSourceIn(c.hub.Sources(), c.config.Zone) {
 		args.Zone = c.config.Zone
@@ -249,6 +256,7 @@
 	if err := c.client(address).Call("Feed.Pull", args, &reply, pullTimeout); err != nil {
 		return 0, err
 	}
+	c.noteWithheld(reply.Withheld)
 	if reply.Elsewhere {
 		c.hub.SetSources(reply.Sources)
 		return 0, nil
@@ -340,6 +348,13 @@
 		}
 		return false
 	}
+	if missing := config.MissingFeatures(table.Requires(), c.config.Features); len(missing) > 0 {
+		c.hub.config.Counters.Add("revisions_refused", 1)
+		if c.config.OnRejected != nil {
+			c.config.OnRejected(next.Revision(), withheldError(missing))
+		}
+		return false
+	}
 	if c.hub.serves(next.Revision()) {
 		c.awaitWitnesses(next.Revision())
 	}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -16,8 +16,9 @@
 // State is a configuration in force: its objects and their expansion. It is
 // immutable.
 type State struct {
-	catalog *catalog.Catalog
-	table   *expand.Table
+	catalog  *catalog.Catalog
+	table    *expand.Table
+	requires []config.Feature
 }
 
 // Catalog returns the configuration's objects. The caller must not change it.
@@ -26,6 +27,10 @@
 // Table returns the expanded configuration. The caller must not change it.
 func (s *State) Table() *expand.Table { return s.table }
 
+// Requires returns the features that a daemon must have to carry out the configuration.
+// The caller must not change the slice.
+func (s *State) Requires() []config.Feature { return s.requires }
+
 // Revision returns the revision of the configuration; 0 means none.
 func (s *State) Revision() config.Revision { return s.catalog.Revision() }
 
@@ -51,6 +56,12 @@
 	// holds no lock during the call, and may make several calls concurrently.
 	// OnOwnRecord may be nil.
 	OnOwnRecord func(directory.Record)
+	// Features are those that the daemon carries out; unused on source replicas.
+	Features []config.Feature
+	// OnWithheld is called when the configuration in force begins to be withheld from a
+	// child, with the features that the child lacks, and with none when that ends. It runs
+	// with the lock of the hub held and must not block. It may be nil.
+	OnWithheld func(child string, missing []config.Feature)
 }
 
 // Hub is a process's shared state: the configuration in force, the directory,
@@ -77,11 +88,12 @@
 	reported      signal           // Of the call statistics.
 	fullTransfers fullLimiter
 	packs         packCache
+	withheld      map[string]time.Time // When the configuration was last withheld, by child.
 }
 
 // NewHub returns a hub with revision 0 in force and an empty directory.
 func NewHub(c HubConfig) *Hub {
-	h := &Hub{config: c, children: map[string]child{}, siblings: map[string]child{}}
+	h := &Hub{config: c, children: map[string]child{}, siblings: map[string]child{}, withheld: map[string]time.Time{}}
 	var b expand.Builder
 	table, _ := b.Build(0, nil)
 	h.state.Store(&State{catalog: &catalog.Catalog{}, table: table})
@@ -142,7 +154,7 @@
 	if c.Revision() <= h.state.Load().Revision() {
 		return false
 	}
-	h.state.Store(&State{catalog: c, table: t})
+	h.state.Store(&State{catalog: c, table: t, requires: t.Requires()})
 	h.published.raise()
 	h.changed.raise()
 	return true
@@ -279,6 +291,7 @@
 			delete(h.children, name)
 		}
 	}
+	h.expireWithheld(now)
 	for name, c := range h.siblings {
 		if now.Sub(c.lastReport) > childTTL {
 			delete(h.siblings, name)
@@ -344,7 +357,7 @@
 	defer h.mutex.Unlock()
 	var sum Ack
 	if !h.config.Source {
-		sum = Ack{Daemons: 1, Behind: []string{h.config.Host}}
+		sum = Ack{Daemons: 1, Behind: []string{h.config.Host}, Features: h.config.Features}
 		if h.Ready() {
 			sum.Low = h.state.Load().Revision()
 		}
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -9,6 +9,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -34,6 +35,9 @@
 	// Zone is the child's data centre if it knows no source replica there, and
 	// empty otherwise.
 	Zone string
+	// Features are those that the child carries out. Older builds send none, and parents of
+	// older builds ignore them.
+	Features []config.Feature
 }
 
 // PullReply holds what is newer than the child's state.
@@ -52,6 +56,11 @@
 	// Elsewhere means that the child should pull from a source replica of its own
 	// data centre, which is among Sources. Configuration and records are left out.
 	Elsewhere bool
+	// Withheld lists the features of the parent's configuration that the child has not
+	// declared. The parent then sends no configuration, and Age and Busy as of a parent
+	// without contact to the source, so that children of older builds, which ignore this
+	// field, look for another parent and do not take their configuration for the newest.
+	Withheld []config.Feature
 }
 
 // NoticeArgs asks the second parent for its revision. It replies as soon as it
@@ -60,9 +69,12 @@
 	Host string
 	Have config.Revision
 	Wait time.Duration
+	// Features are those of PullArgs.Features.
+	Features []config.Feature
 }
 
-// NoticeReply holds the second parent's revision in force.
+// NoticeReply holds the second parent's revision in force, or NoticeArgs.Have if the
+// caller would not get it.
 type NoticeReply struct{ Revision config.Revision }
 
 // ReportArgs reports the state of a child and the daemons below it to its parent.
@@ -88,13 +100,18 @@
 	Daemons int             // Number of daemons.
 	Low     config.Revision // The lowest revision among them.
 	Behind  []string        // Hosts of some of the daemons at Low, at most maxLaggards.
+	// Features are those that all of these daemons carry out. A report of an older build
+	// has none, so that the daemons below it count as having none.
+	Features []config.Feature
 }
 
 // maxLaggards is how many of the daemons at the lowest revision an Ack names.
 const maxLaggards = 8
 
 // Covers reports whether a tells as much as b, apart from the names of hosts.
-func (a Ack) Covers(b Ack) bool { return a.Low == b.Low && a.Daemons == b.Daemons }
+func (a Ack) Covers(b Ack) bool {
+	return a.Low == b.Low && a.Daemons == b.Daemons && slices.Equal(a.Features, b.Features)
+}
 
 // add returns the Ack for the daemons of a and b together.
 func (a Ack) add(b Ack) Ack {
@@ -104,7 +121,7 @@
 	case a.Daemons == 0:
 		return b
 	}
-	sum := Ack{Daemons: a.Daemons + b.Daemons, Low: min(a.Low, b.Low)}
+	sum := Ack{Daemons: a.Daemons + b.Daemons, Low: min(a.Low, b.Low), Features: config.CommonFeatures(a.Features, b.Features)}
 	if a.Low == sum.Low {
 		sum.Behind = append(sum.Behind, a.Behind...)
 	}
--- a/internal/feed/secondparent.go
+++ b/internal/feed/secondparent.go
@@ -59,7 +59,7 @@
 	result := make(chan noticeResult, 1)
 	go func() {
 		var reply NoticeReply
-		args := NoticeArgs{Host: c.config.Host, Have: have, Wait: noticeWait}
+		args := NoticeArgs{Host: c.config.Host, Have: have, Wait: noticeWait, Features: c.config.Features}
 		err := c.client(address).Call("Feed.Notice", args, &reply, noticeTimeout)
 		result <- noticeResult{revision: reply.Revision, err: err}
 	}()
@@ -112,7 +112,7 @@
 // records. It reports whether a delta was received and applied.
 func (c *Client) pullFromSecond(address string) bool {
 	state := c.hub.State()
-	args := PullArgs{Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest()}
+	args := PullArgs{Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest(), Features: c.config.Features}
 	var reply PullReply
 	if c.client(address).Call("Feed.Pull", args, &reply, pullTimeout) != nil {
 		return false
--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -68,7 +68,12 @@
 // returns ErrBadMessage for an invalid host name or a negative wait.
 func (s *Service) Notice(args NoticeArgs, reply *NoticeReply) error {
 	return s.await(args.Host, args.Wait, s.hub.Published, nil, func() bool {
-		reply.Revision = s.hub.State().Revision()
+		state := s.hub.State()
+		if len(config.MissingFeatures(state.Requires(), args.Features)) > 0 {
+			reply.Revision = args.Have
+			return false
+		}
+		reply.Revision = state.Revision()
 		return reply.Revision > args.Have
 	})
 }
@@ -144,6 +149,9 @@
 	if args.Instance == h.config.Instance && args.Records != reply.Digest {
 		reply.Records = h.directory.Since(args.Index, func(from string) bool { return from != args.Host })
 	}
+	if h.withhold(now, args, &reply) {
+		return reply
+	}
 	c := h.state.Load().catalog
 	if c.Revision() <= args.Have {
 		return reply
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"github.com/endivewalk/endivewalk/internal/peer"
 	"github.com/endivewalk/endivewalk/internal/source"
 	"github.com/endivewalk/endivewalk/internal/standin"
+	"github.com/endivewalk/endivewalk/pkg/config"
 	"github.com/endivewalk/endivewalk/pkg/operator"
 )
 
@@ -47,6 +48,9 @@
 	// Upstream returns the address of the local upstream in the settings of a
 	// host's daemon, or "" if they do not name one. It may be nil.
 	Upstream func(host string) string
+	// Features returns the features that the daemon of a host declares, as in
+	// daemon.Config. It may be nil.
+	Features func(host string) []config.Feature
 	Timing   source.Timing
 	Dial     func(from string) peer.Dial // Returns how the named process opens connections; nil means TCP.
 	Seed     uint64                      // Of the random numbers of daemons and stand-ins.
@@ -276,8 +280,12 @@
 	if f.config.Upstream != nil {
 		upstream = f.config.Upstream(host)
 	}
+	var features []config.Feature
+	if f.config.Features != nil {
+		features = f.config.Features(host)
+	}
 	d, err := daemon.Start(daemon.Config{
-		WithdrawTime: f.config.WithdrawTime, Upstream: upstream,
+		Features: features, WithdrawTime: f.config.WithdrawTime, Upstream: upstream,
 		Host: host, Zone: zone, Sources: f.SourceAddresses(), Shape: f.config.Shape,
 		Witnesses: witnesses, Claims: daemon.Claims{Replicas: claimReplicas, FirstStart: firstStart},
 		Listen: addresses, NewLocalHandler: localhttp.ForDaemon,
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -102,6 +102,14 @@
 	return out, true
 }
 
+// Outcome returns the stored outcome of a request, whatever its command was, and false if
+// the request was not decided or is no longer remembered.
+func (s *State) Outcome(request string) (Outcome, bool) {
+	stored, ok := s.outcomes[request]
+	stored.Outcome.Resent = true
+	return stored.Outcome, ok
+}
+
 // decide applies a command that was not decided before.
 func (s *State) decide(c Command) Outcome {
 	if c.Request == "" || c.Operator == "" {
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -56,7 +56,7 @@
 	}
 	n.id = id
 	now := c.Clock()
-	n.hub = feed.NewHub(feed.HubConfig{Host: c.Name, Zone: c.Zone, Instance: uint64(now.UnixNano()), Source: true, Counters: c.Counters})
+	n.hub = feed.NewHub(feed.HubConfig{Host: c.Name, Zone: c.Zone, Instance: uint64(now.UnixNano()), Source: true, Counters: c.Counters, OnWithheld: n.recordWithheld})
 	if n.consensus, err = newConsensus(n, store, id, start, now); err != nil {
 		store.Close()
 		return nil, err
--- a/internal/source/propose.go
+++ b/internal/source/propose.go
@@ -11,9 +11,13 @@
 // proposal is a command that waits for its outcome.
 type proposal struct {
 	command ledger.Command
-	objects []config.Object    // All objects of a replacement; planReplacement computes the changes.
-	done    chan proposeResult // Buffered; receives one result.
-	after   quorum.Index       // For parked proposals: propose it once this index is applied.
+	objects []config.Object // All objects of a replacement; planReplacement computes the changes.
+	// For replacements: the features that the configuration requires, and the error of its
+	// CheckSupported.
+	requires    []config.Feature
+	unsupported error
+	done        chan proposeResult // Buffered; receives one result.
+	after       quorum.Index       // For parked proposals: propose it once this index is applied.
 }
 
 type proposeResult struct {
@@ -46,10 +50,20 @@
 		}
 	}
 	if c.mustWait(p) {
-		p.after = c.core.Last()
-		c.parkedProposals = append(c.parkedProposals, p)
+		c.park(p)
 		return
 	}
+	if p.command.Replace != nil {
+		if err := c.checkEnforced(p); err != nil {
+			if p.after == 0 && c.core.Applied() < c.core.Last() {
+				c.park(p) // The same request may be in the log and still get its first outcome.
+				return
+			}
+			c.countRefusal(err)
+			p.done <- proposeResult{err: err}
+			return
+		}
+	}
 	c.planReplacement(p)
 	p.command.At, p.command.Rules = now.UTC().Round(0), ledger.CurrentRules
 	data, err := encodeChecked(p.command)
@@ -66,6 +80,12 @@
 	c.pendingProposals[index] = pendingProposal{term: term, done: p.done}
 }
 
+// park keeps p until all present entries of the log are applied.
+func (c *consensus) park(p *proposal) {
+	p.after = c.core.Last()
+	c.parkedProposals = append(c.parkedProposals, p)
+}
+
 // mustWait reports whether a replacement cannot be planned yet: it is based on a newer
 // version than the one in force here, and the log has entries that this replica has not
 // applied. After an election these may be all since the last snapshot. A replacement that
@@ -94,6 +114,14 @@
 	if err := command.Check(); err != nil {
 		return nil, err
 	}
+	if command.Change != nil {
+		// Not a part of Command.Check, by which replicas decide on entries of older builds.
+		for _, o := range command.Change.Put {
+			if err := o.CheckSupported(); err != nil {
+				return nil, err
+			}
+		}
+	}
 	data, err := command.Encode()
 	if err != nil {
 		return nil, err
--- a/internal/source/replace.go
+++ b/internal/source/replace.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/endivewalk/endivewalk/internal/ledger"
+	"github.com/endivewalk/endivewalk/internal/quorum"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -24,7 +25,9 @@
 // Replace proposes a replacement and returns its outcome. It must be called on
 // the leader; on other replicas the error matches ErrNoLeader, and LeaderMember
 // returns the replica to call. The error matches config.ErrInvalidConfig if
-// r.Config is invalid.
+// r.Config is invalid or unsupported, and ErrNotEnforced if a live daemon does not carry
+// it out. A resent request that was accepted before gets its outcome in spite of the
+// latter two.
 func (n *Node) Replace(r Replacement) (ledger.Outcome, error) {
 	if err := r.Config.Check(); err != nil {
 		return ledger.Outcome{}, err
@@ -41,7 +44,31 @@
 		Request: r.Request, Operator: r.Operator,
 		Replace: &ledger.Replace{Base: r.Base, Version: r.Config.Version, Origin: origin},
 	}
-	return n.submitProposal(proposal{command: command, objects: objects})
+	return n.submitProposal(proposal{
+		command: command, objects: objects, requires: r.Config.Requires(), unsupported: r.Config.CheckSupported(),
+	})
+}
+
+// Decided returns the outcome of an earlier request, and false if there was none. It is for
+// requests whose configuration this build rejects but an older one may have accepted. The
+// error is ErrNoLeader if this replica does not lead or has not applied its whole log.
+func (n *Node) Decided(request string) (ledger.Outcome, bool, error) {
+	type decision struct {
+		outcome ledger.Outcome
+		found   bool
+		err     error
+	}
+	d, ok := inspect(n, func(c *consensus) decision {
+		outcome, found := c.state.Outcome(request)
+		if !found && (c.core.Role() != quorum.RoleLeader || c.core.Applied() < c.core.Last()) {
+			return decision{err: ErrNoLeader}
+		}
+		return decision{outcome: outcome, found: found}
+	})
+	if !ok {
+		return ledger.Outcome{}, false, ErrBusy
+	}
+	return d.outcome, d.found, d.err
 }
 
 // planReplacement fills in the objects that a replacement changes, compared with
