--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -181,25 +181,6 @@
 	return s.wait()
 }
 
-// signal wakes those who wait for it. The zero value is ready to use. It is not safe for
-// concurrent use.
-type signal struct{ channel chan struct{} } // Nil if nobody waits.
-
-// wait returns a channel that the next call of raise closes.
-func (s *signal) wait() <-chan struct{} {
-	if s.channel == nil {
-		s.channel = make(chan struct{})
-	}
-	return s.channel
-}
-
-func (s *signal) raise() {
-	if s.channel != nil {
-		close(s.channel)
-		s.channel = nil
-	}
-}
-
 // SetLastContact records that t was the time of the last contact with the
 // source's leader. A time before the recorded one is ignored.
 func (h *Hub) SetLastContact(t time.Time) {
@@ -327,16 +308,6 @@
 	return Cursor{records: h.directory.LastIndex(), reports: h.callStats.LastIndex()}
 }
 
-// Cursor is a position in a hub's own order of changes. The zero value is the
-// position before all changes.
-type Cursor struct {
-	records uint64 // Index in the directory.
-	reports uint64 // Index in the call statistics.
-}
-
-// ForgetReports moves the cursor before all call statistics.
-func (c *Cursor) ForgetReports() { c.reports = 0 }
-
 // LastReports returns the time of each child's last report, by host.
 func (h *Hub) LastReports() map[string]time.Time {
 	h.mutex.Lock()
--- a/internal/source/replace.go
+++ b/internal/source/replace.go
@@ -51,24 +51,35 @@
 
 // Decided returns the outcome of an earlier request, and false if there was none. It is for
 // requests whose configuration this build rejects but an older one may have accepted. The
-// error is ErrNoLeader if this replica does not lead or has not applied its whole log.
+// error is ErrNoLeader if this replica does not lead or does not apply its log in time.
 func (n *Node) Decided(request string) (ledger.Outcome, bool, error) {
 	type decision struct {
 		outcome ledger.Outcome
 		found   bool
-		err     error
+		leads   bool
+		applied quorum.Index
+		last    quorum.Index // Of the log.
 	}
-	d, ok := inspect(n, func(c *consensus) decision {
-		outcome, found := c.state.Outcome(request)
-		if !found && (c.core.Role() != quorum.RoleLeader || c.core.Applied() < c.core.Last()) {
-			return decision{err: ErrNoLeader}
+	var wanted quorum.Index // The last entry of the log at the first look.
+	for start := n.config.Clock(); ; {
+		d, ok := inspect(n, func(c *consensus) decision {
+			outcome, found := c.state.Outcome(request)
+			return decision{
+				outcome: outcome, found: found, leads: c.core.Role() == quorum.RoleLeader, applied: c.core.Applied(), last: c.core.Last(),
+			}
+		})
+		if wanted == 0 {
+			wanted = d.last
+		}
+		switch {
+		case !ok:
+			return ledger.Outcome{}, false, ErrBusy
+		case d.found || d.leads && d.applied >= wanted:
+			return d.outcome, d.found, nil
+		case n.config.Clock().Sub(start) > configCatchUpTimeout || !n.pause(configPollInterval):
+			return ledger.Outcome{}, false, ErrNoLeader
 		}
-		return decision{outcome: outcome, found: found}
-	})
-	if !ok {
-		return ledger.Outcome{}, false, ErrBusy
 	}
-	return d.outcome, d.found, d.err
 }
 
 // planReplacement fills in the objects that a replacement changes, compared with
