Source: a configuration on a stale base is a conflict, whatever it requires

Cause: the check of features came before the base was compared, so a stale request was answered 503 and resent for nothing.

Change: features are checked for a replacement of the version in force only.

--- a/internal/source/feature.go
+++ b/internal/source/feature.go
@@ -65,14 +65,18 @@
 	return fmt.Sprintf("%s and %d more", strings.Join(hosts[:maxNamedHosts], ", "), len(hosts)-maxNamedHosts)
 }
 
-// checkEnforced returns an error if the replacement p must not be proposed: nothing
-// carries out a part of it, or checkFeatures rejects it.
+// checkEnforced returns an error if the replacement p, which need not wait, must not be
+// proposed: nothing carries out a part of it, or checkFeatures rejects it. One that is not
+// based on the version in force is a conflict when it is applied, and needs no features.
 func (c *consensus) checkEnforced(p *proposal) error {
 	if p.unsupported != nil {
 		return p.unsupported
 	}
+	if len(p.requires) == 0 || p.command.Replace.Base != c.state.Version() {
+		return nil
+	}
 	hub := c.node.hub
-	return checkFeatures(p.requires, hub.State().Requires(), hub.View().Live(), hub.FleetAck())
+	return checkFeatures(p.requires, c.state.Table().Requires(), hub.View().Live(), hub.FleetAck())
 }
 
 // countRefusal counts a replacement that checkEnforced rejected.
