--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -16,8 +16,9 @@
 // State is a configuration in force: its objects and their expansion. It is
 // immutable.
 type State struct {
-	catalog *catalog.Catalog
-	table   *expand.Table
+	catalog  *catalog.Catalog
+	table    *expand.Table
+	requires []config.Feature
 }
 
 // Catalog returns the configuration's objects. The caller must not change it.
@@ -26,6 +27,10 @@
 // Table returns the expanded configuration. The caller must not change it.
 func (s *State) Table() *expand.Table { return s.table }
 
+// Requires returns the features that a daemon must have to carry out the configuration.
+// The caller must not change the slice.
+func (s *State) Requires() []config.Feature { return s.requires }
+
 // Revision returns the revision of the configuration; 0 means none.
 func (s *State) Revision() config.Revision { return s.catalog.Revision() }
 
@@ -51,6 +56,12 @@
 	// holds no lock during the call, and may make several calls concurrently.
 	// OnOwnRecord may be nil.
 	OnOwnRecord func(directory.Record)
+	// Features are those that the daemon carries out; unused on source replicas.
+	Features []config.Feature
+	// OnWithheld is called when the configuration in force begins to be withheld from a
+	// child, with the features that the child lacks, and with none when that ends. It runs
+	// with the lock of the hub held and must not block. It may be nil.
+	OnWithheld func(child string, missing []config.Feature)
 }
 
 // Hub is a process's shared state: the configuration in force, the directory,
@@ -77,11 +88,12 @@
 	reported      signal           // Of the call statistics.
 	fullTransfers fullLimiter
 	packs         packCache
+	withheld      map[string]time.Time // When the configuration was last withheld, by child.
 }
 
 // NewHub returns a hub with revision 0 in force and an empty directory.
 func NewHub(c HubConfig) *Hub {
-	h := &Hub{config: c, children: map[string]child{}, siblings: map[string]child{}}
+	h := &Hub{config: c, children: map[string]child{}, siblings: map[string]child{}, withheld: map[string]time.Time{}}
 	var b expand.Builder
 	table, _ := b.Build(0, nil)
 	h.state.Store(&State{catalog: &catalog.Catalog{}, table: table})
@@ -142,7 +154,7 @@
 	if c.Revision() <= h.state.Load().Revision() {
 		return false
 	}
-	h.state.Store(&State{catalog: c, table: t})
+	h.state.Store(&State{catalog: c, table: t, requires: t.Requires()})
 	h.published.raise()
 	h.changed.raise()
 	return true
@@ -169,25 +181,6 @@
 	return s.wait()
 }
 
-// signal wakes those who wait for it. The zero value is ready to use. It is not safe for
-// concurrent use.
-type signal struct{ channel chan struct{} } // Nil if nobody waits.
-
-// wait returns a channel that the next call of raise closes.
-func (s *signal) wait() <-chan struct{} {
-	if s.channel == nil {
-		s.channel = make(chan struct{})
-	}
-	return s.channel
-}
-
-func (s *signal) raise() {
-	if s.channel != nil {
-		close(s.channel)
-		s.channel = nil
-	}
-}
-
 // SetLastContact records that t was the time of the last contact with the
 // source's leader. A time before the recorded one is ignored.
 func (h *Hub) SetLastContact(t time.Time) {
@@ -279,6 +272,7 @@
 			delete(h.children, name)
 		}
 	}
+	h.expireWithheld(now)
 	for name, c := range h.siblings {
 		if now.Sub(c.lastReport) > childTTL {
 			delete(h.siblings, name)
@@ -314,16 +308,6 @@
 	return Cursor{records: h.directory.LastIndex(), reports: h.callStats.LastIndex()}
 }
 
-// Cursor is a position in a hub's own order of changes. The zero value is the
-// position before all changes.
-type Cursor struct {
-	records uint64 // Index in the directory.
-	reports uint64 // Index in the call statistics.
-}
-
-// ForgetReports moves the cursor before all call statistics.
-func (c *Cursor) ForgetReports() { c.reports = 0 }
-
 // LastReports returns the time of each child's last report, by host.
 func (h *Hub) LastReports() map[string]time.Time {
 	h.mutex.Lock()
@@ -344,7 +328,7 @@
 	defer h.mutex.Unlock()
 	var sum Ack
 	if !h.config.Source {
-		sum = Ack{Daemons: 1, Behind: []string{h.config.Host}}
+		sum = Ack{Daemons: 1, Behind: []string{h.config.Host}, Features: h.config.Features}
 		if h.Ready() {
 			sum.Low = h.state.Load().Revision()
 		}
@@ -375,44 +359,3 @@
 	h.MergeRecords(now, args.Host, args.Records...)
 	h.MergeCallStats(args.Host, args.Reports...)
 }
-
-// MergeCallStats merges reports of call statistics from another process, or this
-// process's own if from is "". It drops and counts invalid ones.
-func (h *Hub) MergeCallStats(from string, reports ...callstats.Report) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	changed := false
-	for _, r := range reports {
-		if r.Check() != nil {
-			h.config.Counters.Add("feed_bad_reports", 1)
-			continue
-		}
-		changed = h.callStats.Merge(from, r) || changed
-	}
-	if changed {
-		h.reported.raise()
-	}
-}
-
-// CallStats returns the call statistics of a service, summed over all daemons.
-func (h *Hub) CallStats(service string) []callstats.Row {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.callStats.RowsOf(service)
-}
-
-// RetainCallStats deletes the call statistics of moves that have ended, as far as the
-// configuration in force tells. It does nothing until another one is in force.
-func (h *Hub) RetainCallStats() {
-	state := h.State()
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.retainedFor == state {
-		return
-	}
-	h.retainedFor = state
-	h.callStats.Retain(func(k callstats.Key) bool {
-		m, known := state.Table().Move(k.Service)
-		return callstats.Needed(k, m, known)
-	})
-}
