Source: a new leader prepares the leases of team limits before it is asked

Cause: the allocator was created by the first request after an election, so that the first calls of a team could get limit-unknown for 2.6 s although the leader had led for long.

Change: a leader has its leadership confirmed as soon as it is elected, which starts the time in which it only renews leases.

Measured: TestLeaderIsReadyForTeamLimitsBeforeItIsAsked passes; without the goroutine the first reply reports the rest of the silence.

--- a/internal/fleet/teamlimit_test.go
+++ b/internal/fleet/teamlimit_test.go
@@ -98,6 +98,27 @@
 	require.Greater(t, after, 2*teamRate, "of %d granted calls", len(granted))
 }
 
+// A leader must be ready to grant some time after its election, and not only after it was first
+// asked.
+func TestLeaderIsReadyForTeamLimitsBeforeItIsAsked(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Config{})
+	leader := f.Replica(waitForLeader(t, f))
+	time.Sleep(4 * time.Second)
+	client := peer.NewClient(leader.Config.Listen, nil, &peer.Traffic{})
+	defer client.Close()
+	var reply quota.LeaseReply
+	seq := uint64(0)
+	eventually(t, "reply of the leader", func() bool {
+		var r quota.LeaseReply
+		seq++
+		err := client.Call("Quota.Lease", quota.LeaseArgs{Holder: 1, Seq: seq, Teams: quota.EncodeDemands(nil)}, &r, time.Second)
+		reply = r
+		return err == nil && r.Granted
+	})
+	require.Zero(t, reply.Silent)
+}
+
 // A daemon that cannot reach the source must not grant calls when its leases are over, nor tell
 // callers that the limit is reached; it must recover. Without calls it must send no requests.
 func TestTeamLimitIsUnknownWithoutSource(t *testing.T) {
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -100,6 +100,7 @@
 	n.goBackground(n.runExpiry)
 	n.goBackground(n.runMoveController)
 	n.goBackground(n.runJoin)
+	n.goBackground(n.runQuotaLeader)
 	n.startLinks()
 }
 
--- a/internal/source/quota.go
+++ b/internal/source/quota.go
@@ -28,6 +28,9 @@
 // which on it is renewed before leases are granted.
 const leaderConfirmInterval = quota.LeaderTime / 2
 
+// quotaRetryPause is the time after which a new leader tries again to be confirmed.
+const quotaRetryPause = 50 * time.Millisecond
+
 // quotaService implements the RPC service Quota, which leases shares of the limits of teams to
 // daemons.
 type quotaService struct{ node *Node }
@@ -90,6 +93,25 @@
 	})
 }
 
+// runQuotaLeader creates the allocator when this replica becomes the leader, until the node
+// stops. The time in which it only renews leases is then over before most first calls.
+func (n *Node) runQuotaLeader() {
+	for {
+		leader, changed := n.currentLeader()
+		if leader == n.config.Name {
+			n.confirmQuotaLeader()
+			if !n.quota.isConfirmed(n.config.BootClock(), quota.LeaderTime) && n.pause(quotaRetryPause) {
+				continue
+			}
+		}
+		select {
+		case <-n.stop:
+			return
+		case <-changed:
+		}
+	}
+}
+
 // isConfirmed reports whether this replica led less than age ago.
 func (q *quotaLeader) isConfirmed(now, age time.Duration) bool {
 	q.mutex.Lock()
