Quota: holders with more than a few calls a second keep a rate of their own

Cause: below 0.9 of the limit all demand that fits into a bucket was served from the allocator's bucket, so that holders ran dry while a new leader only renews leases; and calls that found their bucket empty then got 429 although the limit was not reached.

Change: only holders of up to 6 calls a second get tokens without a rate. During the silence the reason is limit-unknown.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -49,9 +49,11 @@
 	// the allocator's bucket, for bursts at any holder and for new holders.
 	maxRateFactor = 1
 	// pooledDemand is the demand, in calls per second, up to which a holder gets no rate but
-	// tokens from the allocator's bucket only: of a rate it would leave most unused. A holder
-	// whose bucket lasts until the next request gets none either.
+	// tokens from the allocator's bucket only: of a rate it would leave most unused.
 	pooledDemand = 1
+	// maxPooledDemand is the same for holders whose bucket lasts until the next request,
+	// unless there is an overload. With a rate, a holder lasts longer without the leader.
+	maxPooledDemand = 6
 	// overloadDemand is the demand, as a fraction of the rate, from which on calls do not
 	// wait for tokens that the allocator does not have.
 	overloadDemand = 0.9
@@ -146,7 +148,7 @@
 	l.Tokens = max(0, min(l.Burst, l.Burst+d.Waiting-d.Tokens, Amount(t.tokens)))
 	t.tokens -= float64(l.Tokens)
 	switch {
-	case s.demand <= pooledDemand || !t.isOverloaded() && float64(l.Burst) >= needBetweenRequests(s.demand)*float64(call):
+	case t.isPooled(s, l.Burst):
 		// Without a rate the bucket does not need more room than for its tokens.
 		l.Burst = min(l.Burst, d.Tokens+l.Tokens)
 	case l.Burst > 0:
@@ -158,6 +160,14 @@
 	return l
 }
 
+// isPooled reports whether the holder of s, with the given burst, gets no rate.
+func (t *division) isPooled(s *share, burst Amount) bool {
+	if s.demand <= pooledDemand {
+		return true
+	}
+	return s.demand <= maxPooledDemand && !t.isOverloaded() && float64(burst) >= needBetweenRequests(s.demand)*float64(call)
+}
+
 // isOverloaded reports whether the demand of all holders may be more than the rate.
 func (t *division) isOverloaded() bool {
 	return t.demand >= overloadDemand*float64(t.limit.Rate)/float64(call)
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -121,7 +121,7 @@
 		return Result{Wait: reachable, RetryAfter: b.delay(now, unknownRetryTime, unknownRetryInterval), Ask: true}
 	}
 	rate := min(b.rate, float64(limit.Rate))
-	wait, interval := requestInterval, requestInterval
+	wait, interval := max(requestInterval, h.silent-now), requestInterval
 	if rate > 0 {
 		interval = secondsOf(float64(call) / rate)
 		wait = secondsOf((float64(call) - b.tokens) / rate)
@@ -130,7 +130,9 @@
 			wait = min(wait, max(requestInterval, secondsOf(float64(call)/float64(limit.Rate))))
 		}
 	}
-	r := Result{Limited: true, Wait: reachable && !b.exhausted && now >= h.silent}
+	// A silent leader gives no tokens, whether the limit is reached or not.
+	granting := now >= h.silent
+	r := Result{Limited: granting, Wait: granting && reachable && !b.exhausted}
 	r.Ask = r.Wait
 	if r.Wait {
 		b.waiting++
