--- a/internal/bootclock/bootclock_other.go
+++ b/internal/bootclock/bootclock_other.go
@@ -1,13 +1,12 @@
 //go:build !linux
 
-// Package bootclock reads a clock that also counts the time for which the host was
-// suspended, where the system has one.
 package bootclock
 
 import "time"
 
-// start is when the process started.
-var start = time.Now()
+var started = time.Now()
 
-// Now returns the time since the process started, on the monotonic clock.
-func Now() time.Duration { return time.Since(start) }
+// Now returns the monotonic time since the process has started. Where the operating system
+// stops the monotonic clock during a suspension, the suspension is not counted. It is safe
+// for concurrent use.
+func Now() time.Duration { return time.Since(started) }
