--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -65,16 +65,24 @@
 	Window time.Duration
 	Over   float64
 	Slack  float64
-	// Used is the fraction of that by which bursts are enlarged. Calls that arrive at
-	// random at many daemons need larger buckets than one daemon alone would.
+	// Used is the fraction of that which is used. Calls that arrive at random at many
+	// daemons need larger buckets than one daemon alone would.
 	Used float64
+	// Sustained is the fraction of the burst, with what is used, that a team gets anew in
+	// each Window, as a higher rate in place of a larger bucket. What a team may do in a
+	// Window is the same.
+	Sustained float64
 }
 
 // Limit returns the limit to enforce for a team with a rate, in calls per second, and a
 // burst, in calls.
 func (c Config) Limit(rate, burst float64) Limit {
-	extra := c.Over*(rate*c.Window.Seconds()+burst) + c.Slack
-	return Limit{Rate: amountOf(rate), Burst: amountOf(burst + c.Used*extra)}
+	window := c.Window.Seconds()
+	burst += c.Used * (c.Over*(rate*window+burst) + c.Slack)
+	if c.Sustained == 0 {
+		return Limit{Rate: amountOf(rate), Burst: amountOf(burst)}
+	}
+	return Limit{Rate: amountOf(rate + c.Sustained*burst/window), Burst: amountOf((1 - c.Sustained) * burst)}
 }
 
 // ID identifies a team in messages. Teams with equal IDs share the smallest of their limits.
