Feed, source: daemons know when their configuration was certainly the newest

Callers saw: API keys that a configuration had withdrawn were accepted by daemons that were cut off, stopped for seconds, or behind a parent that was.

Cause: no process knew how old its knowledge is. The age in a pull's reply is about the contact between parent and leader, was taken at the arrival of a pull that then waited, starts at the receipt of the reply, and is on a clock that stops in a suspension.

Change: each configuration in force has a freshness time, a boot time of its host at which nothing newer had been accepted. A source replica notes the time, has a quorum confirm the newest revision, and records the noted time once that revision is in force: every 250 ms while the configuration has API keys, never without. At a follower this is one call to the leader; the leader confirms it with its next regular heartbeat, so that no other messages are sent among the replicas. The reply to a pull carries the freshness time relative to the arrival of the pull, and the revision that it is about; the child adds it to the time before it sent the pull. A reply of an older build has revision 0 and establishes none. Relays reply when they get a newer time. From an age of 1.5 s on, a daemon asks others than its parent. A pull that ends without news is now answered as of its end.

Daemons show configuration_age_ms, and log when they stop and resume accepting keys.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/endivewalk/endivewalk/internal/balance"
+	"github.com/endivewalk/endivewalk/internal/bootclock"
 	"github.com/endivewalk/endivewalk/internal/caller"
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/directory"
@@ -51,9 +52,15 @@
 	// Upstream is the address of the local upstream, or empty if it is not
 	// configured. With it, a daemon that restarts after a graceful shutdown sends
 	// calls to that upstream before the upstream announces itself again.
-	Upstream       string
-	Clock          func() time.Time // Default: time.Now.
-	Random         func() float64   // Random numbers in [0, 1). Default: rand.Float64.
+	Upstream string
+	Clock    func() time.Time // Default: time.Now.
+	// BootClock returns the boot time, by which the freshness of the configuration is
+	// checked. Default: bootclock.Now.
+	BootClock func() time.Duration
+	// KeyValidity is how long after a time at which the configuration in force was
+	// certainly the newest accepted one API keys are accepted by it. 0 means no bound.
+	KeyValidity    time.Duration
+	Random         func() float64 // Random numbers in [0, 1). Default: rand.Float64.
 	Dial           peer.Dial
 	Policy         move.Policy        // Parameters of the analyzers of the circuit breakers; zero fields get the defaults of package move.
 	ReportInterval time.Duration      // Between two reports of call statistics of a move. Default: 1 s.
@@ -107,6 +114,9 @@
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
+	if c.BootClock == nil {
+		c.BootClock = bootclock.Now
+	}
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 	leaving     atomic.Bool
 	stopped     atomic.Bool
 	unconfirmed atomic.Bool
+	keysExpired atomic.Bool // What recordKeyValidity has recorded last.
 	stop        chan struct{}
 	background  sync.WaitGroup
 	stopOnce    sync.Once
@@ -63,7 +64,7 @@
 	// The incarnation orders the records of this host; the instance differs each
 	// time the process starts.
 	incarnation := uint64(now.UnixMilli())
-	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters, OnOwnRecord: d.resume})
+	d.hub = feed.NewHub(feed.HubConfig{Host: c.Host, Instance: uint64(now.UnixNano()), Counters: c.Counters, OnOwnRecord: d.resume, BootClock: c.BootClock})
 	d.newClaimService()
 	d.witness = witness.NewService(d.hub.Instance())
 	d.callStats = callstats.NewCounter(c.Host, incarnation)
@@ -81,14 +82,15 @@
 			_, ok := d.hub.State().Table().Service(name)
 			return ok
 		},
-		Table: func() *expand.Table { return d.hub.State().Table() },
+		Table:     func() *expand.Table { return d.hub.State().Table() },
+		KeysValid: d.keysValid,
 	})
 	d.outbound = caller.New(caller.Config{
 		Host: c.Host, Zone: c.Zone, Clock: c.Clock, Random: c.Random, Ready: d.hub.Ready,
 		Hub: d.hub, Inbound: d.inbound, CallStats: d.callStats, Counters: c.Counters,
 		TakeQuota: d.takeQuota, Blocked: d.breakers.open, Moves: c.Policy, Claims: d.newClaimClient(incarnation),
 		Retries: c.Retries, Balance: c.Balance, CallLog: c.CallLog, OnUnresponsive: d.Suspect,
-		TeamHeader: c.TeamHeader,
+		TeamHeader: c.TeamHeader, KeysValid: d.keysValid,
 	})
 	if err := d.listen(); err != nil {
 		d.closeServers()
@@ -163,7 +165,7 @@
 // stops.
 func (d *Daemon) startBackground() {
 	for _, run := range []func(){
-		d.server.Serve, d.feedClient.RunMinRevision, d.feedClient.RunWitnesses, d.feedClient.RunPull, d.feedClient.RunSecondParent, d.feedClient.RunReport,
+		d.server.Serve, d.feedClient.RunMinRevision, d.feedClient.RunWitnesses, d.feedClient.RunPull, d.feedClient.RunSecondParent, d.feedClient.RunFreshness, d.feedClient.RunReport,
 		d.runHousekeeping, d.runDetector, d.runBreakers, d.syncClaims,
 	} {
 		d.background.Add(1)
@@ -183,6 +185,7 @@
 	d.publishClaimGauges()
 	c.Gauge("floors_kept", func() any { return d.witness.HostCount() })
 	c.Gauge("ready", func() any { return d.hub.Ready() })
+	c.Gauge("configuration_age_ms", func() any { return d.freshnessAgeMillis() })
 }
 
 // Addresses returns the addresses that the daemon listens on, with the ports that
@@ -259,8 +262,8 @@
 const housekeepingInterval = 250 * time.Millisecond
 
 // runHousekeeping ends expired leases, removes old directory records, closes idle
-// connections to leaving daemons, corrects this daemon's own record and records new
-// revisions in force, until the daemon stops.
+// connections to leaving daemons, corrects this daemon's own record, and records new
+// revisions in force and whether API keys are accepted, until the daemon stops.
 func (d *Daemon) runHousekeeping() {
 	newest := config.Revision(0)
 	for d.pause(housekeepingInterval) {
@@ -270,6 +273,7 @@
 		d.hub.Expire(now)
 		d.outbound.PruneConnections(d.hub.View())
 		d.correctRecord()
+		d.keysValid()
 		if r := d.hub.State().Revision(); r > newest {
 			newest = r
 			d.recordInForce(now, r)
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -54,8 +54,8 @@
 
 // Client pulls a daemon's configuration and directory from the best available
 // parent, puts them into the daemon's hub, and reports to the parent. Create one
-// with NewClient and run RunPull, RunReport, RunSecondParent, RunMinRevision and
-// RunWitnesses once each, in goroutines of their own. Its other methods are safe
+// with NewClient and run RunPull, RunReport, RunSecondParent, RunFreshness,
+// RunMinRevision and RunWitnesses once each, in goroutines of their own. Its other methods are safe
 // for concurrent use.
 type Client struct {
 	config       ClientConfig
@@ -242,6 +242,8 @@
 	if c.wantsFull() {
 		args.Have = 0
 	}
+	sent := c.hub.config.BootClock()
+	args.FreshnessAge = c.hub.keyedFreshnessAge(sent)
 	if c.parentInstance == 0 {
 		args.Wait = 0 // The parent's instance is needed first.
 	}
@@ -274,6 +276,7 @@
 	if reply.Busy == 0 && !c.wantsFull() {
 		c.hub.setConfirmedAt(now.Add(-reply.Age))
 	}
+	c.recordFreshness(sent, &reply)
 	if err := c.repair(now, address, known, reply.Digest); err != nil {
 		c.parentInstance = 0 // Treat the next reply as the first, which repairs again.
 		return 0, err
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/bootclock"
 	"github.com/endivewalk/endivewalk/internal/callstats"
 	"github.com/endivewalk/endivewalk/internal/catalog"
 	"github.com/endivewalk/endivewalk/internal/count"
@@ -14,10 +15,11 @@
 )
 
 // State is a configuration in force: its objects and their expansion. It is
-// immutable.
+// immutable, apart from FreshAt.
 type State struct {
 	catalog *catalog.Catalog
 	table   *expand.Table
+	freshAt atomic.Pointer[time.Duration] // Nil if unknown; Hub.mutex is held for changes.
 }
 
 // Catalog returns the configuration's objects. The caller must not change it.
@@ -46,6 +48,8 @@
 	Instance uint64 // Differs each time the process starts; not 0.
 	Source   bool   // The process is a source replica, which is not counted as a daemon.
 	Counters *count.Set
+	// BootClock returns the present boot time. Nil means bootclock.Now.
+	BootClock func() time.Duration
 	// OnOwnRecord is called with each valid record of this host that another process
 	// sends; the record may be from a previous incarnation of the daemon. The hub
 	// holds no lock during the call, and may make several calls concurrently.
@@ -81,6 +85,9 @@
 
 // NewHub returns a hub with revision 0 in force and an empty directory.
 func NewHub(c HubConfig) *Hub {
+	if c.BootClock == nil {
+		c.BootClock = bootclock.Now
+	}
 	h := &Hub{config: c, children: map[string]child{}, siblings: map[string]child{}}
 	var b expand.Builder
 	table, _ := b.Build(0, nil)
@@ -139,10 +146,15 @@
 func (h *Hub) Publish(c *catalog.Catalog, t *expand.Table) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if c.Revision() <= h.state.Load().Revision() {
+	previous := h.state.Load()
+	if c.Revision() <= previous.Revision() {
 		return false
 	}
-	h.state.Store(&State{catalog: c, table: t})
+	next := &State{catalog: c, table: t}
+	// What was not accepted after the previous configuration at that time was not accepted
+	// after this one either.
+	next.freshAt.Store(previous.freshAt.Load())
+	h.state.Store(next)
 	h.published.raise()
 	h.changed.raise()
 	return true
@@ -188,42 +200,6 @@
 	}
 }
 
-// SetLastContact records that t was the time of the last contact with the
-// source's leader. A time before the recorded one is ignored.
-func (h *Hub) SetLastContact(t time.Time) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if t.After(h.lastContact) {
-		h.lastContact = t
-	}
-}
-
-// LastContact returns the time of the last contact with the source's leader.
-func (h *Hub) LastContact() time.Time {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.lastContact
-}
-
-// setConfirmedAt records that the configuration in force was the parent's newest one when
-// the parent's last contact with the source's leader was at t. An earlier time than the
-// recorded one is ignored.
-func (h *Hub) setConfirmedAt(t time.Time) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if t.After(h.confirmedAt) {
-		h.confirmedAt = t
-	}
-}
-
-// ConfirmedAt returns a time at which the configuration in force was the newest one of the
-// source's leader, as far as the daemon's parents tell. It is zero on source replicas.
-func (h *Hub) ConfirmedAt() time.Time {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.confirmedAt
-}
-
 // MergeRecords merges directory records from another process, or this process's
 // own if from is "". It returns those that were newer than the stored ones.
 func (h *Hub) MergeRecords(now time.Time, from string, records ...directory.Record) []directory.Record {
--- a/internal/feed/message.go
+++ b/internal/feed/message.go
@@ -30,10 +30,15 @@
 	Index    uint64          // The newest of the parent's directory changes that the child has.
 	Records  directory.Digest
 	Sources  directory.Digest // Of the source replicas that the child knows.
-	Wait     time.Duration    // Not negative; the parent bounds it.
+	Wait     time.Duration    // Not negative; the parent bounds it, and a relay may add relayDelay.
 	// Zone is the child's data centre if it knows no source replica there, and
 	// empty otherwise.
 	Zone string
+	// FreshnessAge is the age of the child's freshness (State.FreshAt), or huge if the child
+	// has none. It is 0 if the child's configuration has no API keys, and from an older
+	// build. A parent with a newer one may reply early for that; one of an older build
+	// does not.
+	FreshnessAge time.Duration
 }
 
 // PullReply holds what is newer than the child's state.
@@ -52,6 +57,14 @@
 	// Elsewhere means that the child should pull from a source replica of its own
 	// data centre, which is among Sources. Configuration and records are left out.
 	Elsewhere bool
+	// FreshRevision is the parent's revision in force if that has API keys and a known
+	// freshness time. It is 0 otherwise, as from an older build: then the reply
+	// establishes no freshness.
+	FreshRevision config.Revision
+	// Fresh is the freshness time of FreshRevision at the parent, less the time at which
+	// the pull arrived there. It is negative unless the parent became fresher while the
+	// pull waited. An older child ignores it and accepts no API keys by itself.
+	Fresh time.Duration
 }
 
 // NoticeArgs asks the second parent for its revision. It replies as soon as it
@@ -117,9 +130,12 @@
 
 // LatestArgs asks a source replica for the newest accepted revision. Wait is how long the
 // replica may wait until it knows a leader; an older build fails at once without one.
+// Patient means that the leader may confirm the revision with its next regular heartbeat;
+// one of an older build sends additional ones. Only source replicas ask each other so.
 type LatestArgs struct {
-	Host string
-	Wait time.Duration
+	Host    string
+	Wait    time.Duration
+	Patient bool
 }
 
 // LatestReply holds a revision that a quorum of the source has confirmed: it
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -85,16 +85,16 @@
 	h.SetSources(sources)
 	require.True(t, h.Publish(manyRoutes(t, 5), &expand.Table{}))
 	now := time.Now()
-	got := h.replyTo(now, PullArgs{Host: "d", Zone: "b"})
+	got := h.replyTo(now, 0, PullArgs{Host: "d", Zone: "b"})
 	require.True(t, got.Elsewhere)
 	require.Nil(t, got.Delta)
 	require.Equal(t, sources, got.Sources)
-	got = h.replyTo(now, PullArgs{Host: "d", Sources: directory.DigestSources(sources)})
+	got = h.replyTo(now, 0, PullArgs{Host: "d", Sources: directory.DigestSources(sources)})
 	require.False(t, got.Elsewhere)
 	require.NotNil(t, got.Delta)
 	require.Nil(t, got.Sources, "want no sources: the child has the same list")
 	for _, zone := range []string{"a", "c"} {
-		require.False(t, h.replyTo(now, PullArgs{Host: "d", Zone: zone}).Elsewhere, zone)
+		require.False(t, h.replyTo(now, 0, PullArgs{Host: "d", Zone: zone}).Elsewhere, zone)
 	}
 }
 
--- a/internal/feed/secondparent.go
+++ b/internal/feed/secondparent.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/endivewalk/endivewalk/internal/directory"
 	"github.com/endivewalk/endivewalk/pkg/config"
 )
 
@@ -79,7 +80,7 @@
 	}
 	if c.hub.State().Revision() < notice.revision {
 		c.hub.config.Counters.Add("feed_second_pulls", 1)
-		return c.pullFromSecond(address)
+		return c.pullConfiguration(address, pullTimeout)
 	}
 	return true
 }
@@ -108,13 +109,17 @@
 	return c.parent, c.parentChange
 }
 
-// pullFromSecond pulls configuration from the second parent, without directory
-// records. It reports whether a delta was received and applied.
-func (c *Client) pullFromSecond(address string) bool {
+// pullConfiguration pulls configuration and its freshness from another process than the
+// parent, without directory records. It reports whether a delta was received and applied.
+func (c *Client) pullConfiguration(address string, timeout time.Duration) bool {
 	state := c.hub.State()
-	args := PullArgs{Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest()}
+	args := PullArgs{
+		Host: c.config.Host, Have: state.Revision(), Digest: state.Catalog().Digest(),
+		Sources: directory.DigestSources(c.hub.Sources()),
+	}
+	sent := c.hub.config.BootClock()
 	var reply PullReply
-	if c.client(address).Call("Feed.Pull", args, &reply, pullTimeout) != nil {
+	if c.client(address).Call("Feed.Pull", args, &reply, timeout) != nil {
 		return false
 	}
 	delta, err := reply.delta()
@@ -122,5 +127,7 @@
 		c.hub.config.Counters.Add("feed_bad_messages", 1)
 		return false
 	}
-	return delta != nil && c.apply(*delta)
+	applied := delta != nil && c.apply(*delta)
+	c.recordFreshness(sent, &reply)
+	return applied
 }
--- a/internal/feed/service.go
+++ b/internal/feed/service.go
@@ -14,6 +14,9 @@
 	// that further changes go out in the same reply. Configuration is never held
 	// back.
 	batchDelay = 20 * time.Millisecond
+	// relayDelay is added to the wait of a pull at a relay that will get a newer freshness
+	// by a pull of its own, which takes somewhat longer than the child's wait.
+	relayDelay = 250 * time.Millisecond
 	// maxFullPerSecond is how many limited full states a process sends per second.
 	maxFullPerSecond = 50
 	// maxUnlimitedObjects is how many objects a full state may have to be exempt
@@ -43,22 +46,29 @@
 	return &Service{hub: h, clock: clock, source: source}
 }
 
-// Pull waits for something newer than the child has, at most for args.Wait. If the
+// Pull waits for something newer than the child has, at most for args.Wait. A newer
+// freshness counts according to freshnessGoal. If the
 // last contact with the source's leader becomes stale meanwhile, it replies at
 // once, so that the child can choose another parent. It returns ErrBadMessage for
 // an invalid host name or a negative wait.
 func (s *Service) Pull(args PullArgs, reply *PullReply) error {
-	return s.await(args.Host, args.Wait, s.hub.Changed, s.hub.untilStale, func() bool {
-		*reply = s.hub.replyTo(s.clock(), args)
+	arrived := s.hub.config.BootClock()
+	goal, hasGoal := freshnessGoal(arrived, args.FreshnessAge, s.hub.config.Source)
+	wait := args.Wait
+	if hasGoal && !s.hub.config.Source && wait > 0 {
+		wait += relayDelay
+	}
+	return s.await(args.Host, wait, s.hub.Changed, s.hub.untilStale, func() bool {
+		*reply = s.hub.replyTo(s.clock(), arrived, args)
 		if reply.Delta != nil || reply.Busy > 0 || reply.Elsewhere {
 			s.hub.compress(reply)
 			return true
 		}
 		if len(reply.Records) == 0 {
-			return false
+			return hasGoal && reply.FreshRevision > 0 && arrived+reply.Fresh >= goal
 		}
 		time.Sleep(batchDelay)
-		*reply = s.hub.replyTo(s.clock(), args)
+		*reply = s.hub.replyTo(s.clock(), arrived, args)
 		s.hub.compress(reply)
 		return true
 	})
@@ -75,8 +85,8 @@
 
 // await calls poll at once and whenever the channel of changed is closed, until it returns
 // true or wait is over. If untilStale is not nil, await also returns once the source
-// contact has become stale during the call, after a last poll. untilStale returns
-// how long the contact stays fresh at least, or 0 if it is stale.
+// contact has become stale during the call. Either way, there is a last poll. untilStale
+// returns how long the contact stays fresh at least, or 0 if it is stale.
 func (s *Service) await(host string, wait time.Duration, changed func() <-chan struct{}, untilStale func(now time.Time) time.Duration, poll func() bool) error {
 	if !config.ValidName(host) || wait < 0 {
 		s.hub.config.Counters.Add("feed_bad_messages", 1)
@@ -99,6 +109,7 @@
 		select {
 		case <-wake:
 		case <-deadline.C:
+			poll() // Puts the present ages into the reply.
 			return nil
 		case <-staleness.C:
 			if untilStale == nil {
@@ -106,7 +117,7 @@
 			}
 			remaining := untilStale(s.clock())
 			if remaining == 0 {
-				poll() // Puts the present age of the last contact into the reply.
+				poll()
 				return nil
 			}
 			staleness.Reset(remaining)
@@ -125,8 +136,9 @@
 	return remaining + time.Millisecond
 }
 
-// replyTo returns what is newer than the child's state now, without waiting.
-func (h *Hub) replyTo(now time.Time, args PullArgs) PullReply {
+// replyTo returns what is newer than the child's state now, without waiting. arrived is the
+// boot time at which the pull arrived.
+func (h *Hub) replyTo(now time.Time, arrived time.Duration, args PullArgs) PullReply {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	reply := PullReply{Instance: h.config.Instance, Index: h.directory.LastIndex(), Age: now.Sub(h.lastContact)}
@@ -144,7 +156,9 @@
 	if args.Instance == h.config.Instance && args.Records != reply.Digest {
 		reply.Records = h.directory.Since(args.Index, func(from string) bool { return from != args.Host })
 	}
-	c := h.state.Load().catalog
+	state := h.state.Load()
+	reply.setFreshness(state, arrived)
+	c := state.catalog
 	if c.Revision() <= args.Have {
 		return reply
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,7 +49,10 @@
 	Upstream func(host string) string
 	Timing   source.Timing
 	Dial     func(from string) peer.Dial // Returns how the named process opens connections; nil means TCP.
-	Seed     uint64                      // Of the random numbers of daemons and stand-ins.
+	// BootClock returns the boot clock of the named process; nil means the host's.
+	BootClock   func(name string) func() time.Duration
+	KeyValidity time.Duration // Of daemons; see daemon.Config.
+	Seed        uint64        // Of the random numbers of daemons and stand-ins.
 }
 
 // Replica is a source replica of a fleet. Its fields may be changed only while
@@ -102,7 +105,7 @@
 		f.replicas = append(f.replicas, &Replica{OperatorAddress: operators[i], Config: source.Config{
 			Name: m.Name, Zone: c.Zones[i%len(c.Zones)], Listen: m.Address, Founders: members, Init: true,
 			Disk: disk.Config{Folder: filepath.Join(c.DataFolder, m.Name)}, Timing: c.Timing, Policy: c.Policy,
-			Dial: f.dial(m.Name),
+			Dial: f.dial(m.Name), BootClock: f.bootClock(m.Name),
 		}})
 	}
 	if err := f.foundGroup(); err != nil {
@@ -122,6 +125,14 @@
 	return f.config.Dial(from)
 }
 
+// bootClock returns the boot clock of a process, or nil for the host's.
+func (f *Fleet) bootClock(name string) func() time.Duration {
+	if f.config.BootClock == nil {
+		return nil
+	}
+	return f.config.BootClock(name)
+}
+
 // newRandom returns a generator of random numbers in [0, 1) for one process,
 // seeded from the fleet's. It may be called concurrently.
 func (f *Fleet) newRandom() func() float64 {
@@ -282,6 +293,7 @@
 		Witnesses: witnesses, Claims: daemon.Claims{Replicas: claimReplicas, FirstStart: firstStart},
 		Listen: addresses, NewLocalHandler: localhttp.ForDaemon,
 		DrainTime: f.config.DrainTime, Policy: f.config.Policy, Random: f.newRandom(), Dial: f.dial(host),
+		BootClock: f.bootClock(host), KeyValidity: f.config.KeyValidity,
 	})
 	if err != nil {
 		return nil, err
@@ -362,19 +374,6 @@
 	return f.standins[id]
 }
 
-// Wait calls done every 5 ms until it returns true, timeout has passed or ctx
-// ends. It returns the last result of done, which it calls at least once.
-func Wait(ctx context.Context, timeout time.Duration, done func() bool) bool {
-	deadline := time.Now().Add(timeout)
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		if done() {
-			return true
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	return done()
-}
-
 // Stop ends all processes at once, without draining, and keeps the data folders
 // of the replicas.
 func (f *Fleet) Stop() {
--- a/internal/quorum/read.go
+++ b/internal/quorum/read.go
@@ -19,7 +19,8 @@
 // Read starts a linearizable read, one that sees everything committed before
 // the call. The result appears in Output.Reads under the same ID, once a quorum
 // has confirmed that this replica still leads. It fails at once if this replica
-// does not lead or has committed nothing in its term yet.
+// does not lead or has committed nothing in its term yet. A caller may shorten the wait
+// for the quorum with StartRound.
 func (c *Core) Read(id uint64) {
 	if c.role != RoleLeader || !c.hasCommittedInTerm() {
 		c.output.Reads = append(c.output.Reads, ReadResult{ID: id})
@@ -32,10 +33,6 @@
 	}
 }
 
-// ReadsPending returns how many reads wait for a quorum. A caller may shorten
-// their wait with StartRound.
-func (c *Core) ReadsPending() int { return len(c.reads) }
-
 // confirmReads completes the pending reads whose round a quorum has
 // acknowledged.
 func (c *Core) confirmReads() {
--- a/internal/source/config.go
+++ b/internal/source/config.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/zeebo/errs"
 
+	"github.com/endivewalk/endivewalk/internal/bootclock"
 	"github.com/endivewalk/endivewalk/internal/count"
 	"github.com/endivewalk/endivewalk/internal/disk"
 	"github.com/endivewalk/endivewalk/internal/event"
@@ -66,6 +67,7 @@
 	MinFreeBytes uint64                              // Free disk space needed to accept changes; 0 means 16 MiB.
 	FreeBytes    func(folder string) (uint64, error) // Returns the free space in bytes; nil means that of the file system.
 	Clock        func() time.Time                    // nil means time.Now.
+	BootClock    func() time.Duration                // Of package bootclock; nil means bootclock.Now.
 	Dial         peer.Dial                           // nil means TCP.
 	Fatal        func(error)                         // Called when the process must exit; nil means panic.
 	Identity     func(name string) (id string)       // Returns the identity of a new data folder, a part of the member ID (see memberID); nil means random.
@@ -102,6 +104,9 @@
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
+	if c.BootClock == nil {
+		c.BootClock = bootclock.Now
+	}
 	if c.FreeBytes == nil {
 		c.FreeBytes = freeBytes
 	}
--- a/internal/source/consensus.go
+++ b/internal/source/consensus.go
@@ -18,11 +18,18 @@
 type input struct {
 	message *quorum.Message
 	propose *proposal
-	read    chan readResult // Buffered; receives one result.
+	read    *readRequest
 	join    *joinRequest
 	inspect func(*consensus) // Called in the consensus goroutine.
 }
 
+// readRequest asks for a confirmed read.
+type readRequest struct {
+	done chan readResult // Buffered; receives one result.
+	// patient means that the read waits for the leader's next regular heartbeat.
+	patient bool
+}
+
 type readResult struct {
 	confirmedRead
 	err error
@@ -59,7 +66,8 @@
 	inputs           *queue.Queue[input]
 	pendingProposals map[quorum.Index]pendingProposal
 	parkedProposals  []*proposal // Not in the log; see mustWait.
-	pendingReads     map[uint64]chan readResult
+	pendingReads     map[uint64]*readRequest
+	urgentReads      int // Of pendingReads, those that are not patient.
 	lastReadID       uint64
 	role             quorum.Role
 	leader           string
@@ -76,7 +84,7 @@
 		node: n, store: store, state: ledger.New(),
 		inputs:           queue.New[input](maxQueuedInputs),
 		pendingProposals: map[quorum.Index]pendingProposal{},
-		pendingReads:     map[uint64]chan readResult{},
+		pendingReads:     map[uint64]*readRequest{},
 	}
 	if start.Snapshot != nil {
 		state, err := ledger.Restore(start.Snapshot.Data)
@@ -167,6 +175,9 @@
 	case in.read != nil:
 		c.lastReadID++
 		c.pendingReads[c.lastReadID] = in.read
+		if !in.read.patient {
+			c.urgentReads++
+		}
 		c.core.Read(c.lastReadID)
 	case in.join != nil:
 		in.join.done <- c.handleJoin(now, in.join)
@@ -179,7 +190,7 @@
 // syncs records, sends messages, applies committed entries and completes reads.
 // It returns false if the consensus goroutine must end.
 func (c *consensus) processOutput(stop <-chan struct{}) bool {
-	if c.core.ReadsPending() > 0 {
+	if c.urgentReads > 0 {
 		c.core.StartRound(c.node.config.Clock())
 	}
 	for {
@@ -314,13 +325,16 @@
 // committed before the read have been applied.
 func (c *consensus) completeReads(results []quorum.ReadResult) {
 	for _, r := range results {
-		done := c.pendingReads[r.ID]
+		request := c.pendingReads[r.ID]
 		delete(c.pendingReads, r.ID)
+		if !request.patient {
+			c.urgentReads--
+		}
 		if !r.OK {
-			done <- readResult{err: ErrNoLeader}
+			request.done <- readResult{err: ErrNoLeader}
 			continue
 		}
-		done <- readResult{confirmedRead: confirmedRead{revision: c.state.Revision(), applied: c.core.Applied()}}
+		request.done <- readResult{confirmedRead: confirmedRead{revision: c.state.Revision(), applied: c.core.Applied()}}
 	}
 }
 
@@ -375,8 +389,8 @@
 // failPending completes all pending proposals and reads with an error.
 func (c *consensus) failPending() {
 	c.failPendingProposals()
-	for id, done := range c.pendingReads {
-		done <- readResult{err: ErrNoLeader}
+	for id, request := range c.pendingReads {
+		request.done <- readResult{err: ErrNoLeader}
 		delete(c.pendingReads, id)
 	}
 }
--- a/internal/source/node.go
+++ b/internal/source/node.go
@@ -56,7 +56,7 @@
 	}
 	n.id = id
 	now := c.Clock()
-	n.hub = feed.NewHub(feed.HubConfig{Host: c.Name, Zone: c.Zone, Instance: uint64(now.UnixNano()), Source: true, Counters: c.Counters})
+	n.hub = feed.NewHub(feed.HubConfig{Host: c.Name, Zone: c.Zone, Instance: uint64(now.UnixNano()), Source: true, Counters: c.Counters, BootClock: c.BootClock})
 	if n.consensus, err = newConsensus(n, store, id, start, now); err != nil {
 		store.Close()
 		return nil, err
@@ -96,6 +96,7 @@
 	n.goBackground(func() { n.consensus.run(n.stop) })
 	n.goBackground(n.server.Serve)
 	n.goBackground(n.runExpiry)
+	n.goBackground(n.runFreshness)
 	n.goBackground(n.runMoveController)
 	n.goBackground(n.runJoin)
 	n.startLinks()
@@ -332,27 +333,31 @@
 
 // confirmLatest returns the newest accepted revision, confirmed by a quorum for this
 // call alone.
-func (n *Node) confirmLatest() (confirmedRead, error) {
+func (n *Node) confirmLatest() (confirmedRead, error) { return n.confirm(false) }
+
+// confirm is confirmLatest. A patient call takes up to a heartbeat longer and makes the
+// leader send no additional messages to the other replicas.
+func (n *Node) confirm(patient bool) (confirmedRead, error) {
 	leader, changed := n.currentLeader()
 	if leader == n.config.Name {
-		return n.latestLocally()
+		return n.latestLocally(patient)
 	}
 	client := n.links.client(leader)
 	if client == nil {
 		return confirmedRead{}, feed.ErrUnconfirmed
 	}
 	var reply LatestReply
-	err := n.callLeader(client, changed, "Source.Latest", feed.LatestArgs{Host: n.config.Name}, &reply)
+	err := n.callLeader(client, changed, "Source.Latest", feed.LatestArgs{Host: n.config.Name, Patient: patient}, &reply)
 	if err != nil {
 		return confirmedRead{}, feed.ErrUnconfirmed
 	}
 	return confirmedRead{revision: reply.Revision, applied: reply.Applied}, nil
 }
 
-// latestLocally is Latest on this replica, which must lead.
-func (n *Node) latestLocally() (confirmedRead, error) {
+// latestLocally is confirm on this replica, which must lead.
+func (n *Node) latestLocally(patient bool) (confirmedRead, error) {
 	done := make(chan readResult, 1)
-	if !n.consensus.inputs.Offer(input{read: done}) {
+	if !n.consensus.inputs.Offer(input{read: &readRequest{done: done, patient: patient}}) {
 		return confirmedRead{}, ErrBusy
 	}
 	t := time.NewTimer(leaderRequestTimeout)
--- a/internal/source/service.go
+++ b/internal/source/service.go
@@ -112,8 +112,8 @@
 
 // Latest returns the newest accepted revision, confirmed by a quorum. It fails if
 // this replica does not lead.
-func (s *sourceService) Latest(_ feed.LatestArgs, reply *LatestReply) error {
-	confirmed, err := s.node.latestLocally()
+func (s *sourceService) Latest(args feed.LatestArgs, reply *LatestReply) error {
+	confirmed, err := s.node.latestLocally(args.Patient)
 	reply.Revision, reply.Applied = confirmed.revision, confirmed.applied
 	return err
 }
