--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -54,16 +54,21 @@
 	// Upstream is the address of the local upstream, or empty if it is not
 	// configured. With it, a daemon that restarts after a graceful shutdown sends
 	// calls to that upstream before the upstream announces itself again.
-	Upstream       string
-	Clock          func() time.Time // Default: time.Now.
-	Random         func() float64   // Random numbers in [0, 1). Default: rand.Float64.
+	Upstream string
+	Clock    func() time.Time // Default: time.Now.
+	// BootClock returns the boot time, by which the freshness of the configuration is
+	// checked. Default: bootclock.Now.
+	BootClock func() time.Duration
+	// KeyValidity is how long after a time at which the configuration in force was
+	// certainly the newest accepted one API keys are accepted by it. 0 means no bound.
+	KeyValidity    time.Duration
+	Random         func() float64 // Random numbers in [0, 1). Default: rand.Float64.
 	Dial           peer.Dial
-	Policy         move.Policy          // Parameters of the analyzers of the circuit breakers; zero fields get the defaults of package move.
-	TeamLimits     quota.Config         // How much of what is tolerated beyond the limits of teams is used.
-	BootClock      func() time.Duration // A clock that counts while the host is suspended. Default: bootclock.Now.
-	ReportInterval time.Duration        // Between two reports of call statistics of a move. Default: 1 s.
-	Retries        caller.RetryPolicy   // Limits retries; zero fields get the defaults of package caller.
-	Balance        balance.Config       // The daemon sets Zone.
+	Policy         move.Policy        // Parameters of the analyzers of the circuit breakers; zero fields get the defaults of package move.
+	TeamLimits     quota.Config       // How much of what is tolerated beyond the limits of teams is used.
+	ReportInterval time.Duration      // Between two reports of call statistics of a move. Default: 1 s.
+	Retries        caller.RetryPolicy // Limits retries; zero fields get the defaults of package caller.
+	Balance        balance.Config     // The daemon sets Zone.
 	// TeamHeader is the header in which upstreams get the name of the team that makes a
 	// call; see caller.Config. Senders of NewSender set it themselves.
 	TeamHeader string
--- a/internal/feed/withhold_test.go
+++ b/internal/feed/withhold_test.go
@@ -56,8 +56,8 @@
 	}
 )
 
-// publishKeyed puts a keyed configuration in force on h and returns its revision.
-func publishKeyed(t *testing.T, h *Hub) config.Revision {
+// publishKeyedConfig puts a keyed configuration in force on h and returns its revision.
+func publishKeyedConfig(t *testing.T, h *Hub) config.Revision {
 	t.Helper()
 	objects, err := config.Config{Version: 1, Keyed: true, Teams: []config.Team{{Name: "t", Rate: 1}}}.Objects()
 	require.NoError(t, err)
@@ -88,7 +88,7 @@
 	go server.Serve()
 	client := peer.NewClient(server.Address(), nil, &peer.Traffic{})
 	defer client.Close()
-	revision := publishKeyed(t, h)
+	revision := publishKeyedConfig(t, h)
 
 	for range 2 {
 		var reply olderPullReply
@@ -123,7 +123,7 @@
 // out must not put it in force.
 func TestDaemonRefusesConfigurationThatItDoesNotCarryOut(t *testing.T) {
 	parent := NewHub(HubConfig{Host: "parent", Instance: 1, Counters: &count.Set{}})
-	publishKeyed(t, parent)
+	publishKeyedConfig(t, parent)
 	var refused error
 	child := NewClient(ClientConfig{Host: "d", Zone: "z", Clock: time.Now, Traffic: &peer.Traffic{},
 		OnRejected: func(_ config.Revision, err error) { refused = err }}, NewHub(HubConfig{Host: "d", Instance: 2, Counters: &count.Set{}}))
--- a/internal/source/config.go
+++ b/internal/source/config.go
@@ -68,15 +68,15 @@
 	MinFreeBytes uint64                              // Free disk space needed to accept changes; 0 means 16 MiB.
 	FreeBytes    func(folder string) (uint64, error) // Returns the free space in bytes; nil means that of the file system.
 	Clock        func() time.Time                    // nil means time.Now.
+	BootClock    func() time.Duration                // Of package bootclock; nil means bootclock.Now.
 	Dial         peer.Dial                           // nil means TCP.
 	Fatal        func(error)                         // Called when the process must exit; nil means panic.
 	Identity     func(name string) (id string)       // Returns the identity of a new data folder, a part of the member ID (see memberID); nil means random.
 	Policy       move.Policy
-	TeamLimits   quota.Config         // How much of what is tolerated beyond the limits of teams is used.
-	BootClock    func() time.Duration // A clock that counts while the host is suspended; nil means bootclock.Now.
-	Logger       log.Logger           // nil means no logs.
-	Events       *event.Ring          // nil means a ring that only the node uses.
-	Counters     *count.Set           // nil means counters that only the node uses.
+	TeamLimits   quota.Config // How much of what is tolerated beyond the limits of teams is used.
+	Logger       log.Logger   // nil means no logs.
+	Events       *event.Ring  // nil means a ring that only the node uses.
+	Counters     *count.Set   // nil means counters that only the node uses.
 }
 
 // Timing holds the intervals of the consensus. Zero fields get the defaults
--- a/internal/source/quota.go
+++ b/internal/source/quota.go
@@ -85,7 +85,7 @@
 	// The result is in n.quota. Concurrent requests share it.
 	_, _ = n.quota.reads.do(func() (confirmedRead, error) {
 		start := n.config.BootClock()
-		confirmed, err := n.latestLocally()
+		confirmed, err := n.latestLocally(false)
 		if err == nil {
 			n.quota.confirm(start, n.config.BootClock(), confirmed.term)
 		}
