Caller, upstream: the confirmation of keys is read before the configuration

Cause: a process that wakes between the two could use an old table with the confirmation of a newer one.

Measured: go test -race ./internal/feed ./internal/caller pass.

--- a/internal/caller/access.go
+++ b/internal/caller/access.go
@@ -11,8 +11,9 @@
 // decideAccess decides whether a call may be made in the configuration t, by the API key that
 // it shows, and counts the decision. In a keyed configuration it removes the key from the
 // request, which from then on may be sent and logged anywhere.
-func (p *Proxy) decideAccess(t *expand.Table, r *http.Request) (access.Grant, *call.Error) {
-	grant, err := access.Decide(t, access.RequestOf(r), p.config.KeysValid())
+// confirmed is as for access.Decide.
+func (p *Proxy) decideAccess(t *expand.Table, r *http.Request, confirmed bool) (access.Grant, *call.Error) {
+	grant, err := access.Decide(t, access.RequestOf(r), confirmed)
 	if err != nil {
 		return access.Grant{}, call.NotExecutedError(access.ReasonOf(err))
 	}
@@ -31,7 +32,10 @@
 // renewGrant decides anew on a call before it is sent once more or after it waited: its key
 // may have been withdrawn, and a process that was suspended may not know that.
 func (p *Proxy) renewGrant(c *routedCall) *call.Error {
-	grant, err := c.grant.Renew(p.config.Hub.State().Table(), access.RequestOf(c.request), p.config.KeysValid())
+	// In this order: a newer configuration may come into force between the two.
+	confirmed := p.config.KeysValid()
+	table := p.config.Hub.State().Table()
+	grant, err := c.grant.Renew(table, access.RequestOf(c.request), confirmed)
 	if err != nil {
 		return call.NotExecutedError(access.ReasonOf(err))
 	}
@@ -39,7 +43,7 @@
 		delete(c.request.Header, call.HeaderCredential)
 	}
 	if grant.Team() != c.grant.Team() {
-		c.urgency.Priority = priorityOf(p.config.Hub.State().Table(), c.route, grant)
+		c.urgency.Priority = priorityOf(table, c.route, grant)
 	}
 	c.grant = grant
 	return nil
--- a/internal/caller/dispatch.go
+++ b/internal/caller/dispatch.go
@@ -68,6 +68,7 @@
 		return nil, call.NotExecutedError(call.ReasonNotReady)
 	}
 	now := p.config.Clock()
+	confirmed := p.config.KeysValid() // Before the configuration is read, which may become newer.
 	state := p.config.Hub.State()
 	if state.Table().Fleet().Version == 0 {
 		return nil, call.NotExecutedError(call.ReasonNotReady)
@@ -76,7 +77,7 @@
 	if !ok {
 		return nil, call.NotExecutedError(call.ReasonNoRoute)
 	}
-	grant, callErr := p.decideAccess(state.Table(), r)
+	grant, callErr := p.decideAccess(state.Table(), r, confirmed)
 	if callErr != nil {
 		return nil, callErr
 	}
--- a/internal/caller/proxy.go
+++ b/internal/caller/proxy.go
@@ -208,7 +208,7 @@
 	if !ok {
 		return nil, call.NotExecutedError(call.ReasonNoRoute)
 	}
-	grant, callErr := p.decideAccess(state.Table(), r)
+	grant, callErr := p.decideAccess(state.Table(), r, true)
 	if callErr != nil {
 		return nil, callErr
 	}
--- a/internal/feed/freshness_test.go
+++ b/internal/feed/freshness_test.go
@@ -85,7 +85,8 @@
 func newChild(t *testing.T, hub *Hub, addresses ...string) *Client {
 	t.Helper()
 	return NewClient(ClientConfig{
-		Host: hub.config.Host, Zone: "z", Sources: addresses, Clock: time.Now, Random: rand.Float64, Traffic: &peer.Traffic{},
+		Features: config.Features(),
+		Host:     hub.config.Host, Zone: "z", Sources: addresses, Clock: time.Now, Random: rand.Float64, Traffic: &peer.Traffic{},
 	}, hub)
 }
 
@@ -264,7 +265,7 @@
 			time.AfterFunc(wait/10, func() { parent.SetFreshAt(2, now-test.becomes) })
 		}
 		begin := time.Now()
-		args := PullArgs{Host: "d", Have: 2, Digest: parent.State().Catalog().Digest(), Instance: 7, Wait: wait, FreshnessAge: test.childAge}
+		args := PullArgs{Host: "d", Have: 2, Digest: parent.State().Catalog().Digest(), Instance: 7, Wait: wait, FreshnessAge: test.childAge, Features: config.Features()}
 		var reply PullReply
 		require.NoError(t, NewService(parent, time.Now, nil).Pull(args, &reply))
 		require.Equal(t, test.returns, time.Since(begin) < wait-wait/10, name)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -130,7 +130,8 @@
 	if p.config.Table == nil {
 		return nil
 	}
-	// The daemon that took the call has confirmed a decision that exists.
+	// The daemon that took the call has confirmed a decision that exists. The configuration
+	// is read afterwards: a newer one may come into force between the two.
 	confirmed := c.Grant.IsDecided() || p.config.KeysValid()
 	grant, err := c.Grant.Renew(p.config.Table(), c.Access, confirmed)
 	if err != nil {
