Config: a host with a port and a digest in capitals are refused

Cause, found by review: both were accepted; calls are matched by hosts without a port, and no key has such a digest.

Change: CheckSupported, so that a configuration in force stays readable.

--- a/pkg/config/feature.go
+++ b/pkg/config/feature.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"net"
 	"slices"
 	"strings"
 
@@ -84,6 +85,16 @@
 			return err
 		}
 	}
+	for _, t := range c.Teams {
+		if err := t.checkSupported(); err != nil {
+			return err
+		}
+	}
+	for _, r := range c.Routes {
+		if err := r.checkSupported(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -107,3 +118,21 @@
 	}
 	return nil
 }
+
+// checkSupported rejects digests in another form than that of KeyDigest, which no key has.
+func (t Team) checkSupported() error {
+	for i, k := range t.Keys {
+		if strings.ToLower(k) != k {
+			return errs.Combine(ErrUnsupported, invalidConfig("team "+t.Name, "keys[%d] has capital letters, which no digest of a key has", i))
+		}
+	}
+	return nil
+}
+
+// checkSupported rejects a host with a port: calls are matched by their host without it.
+func (r HostRoute) checkSupported() error {
+	if _, _, err := net.SplitHostPort(r.Host); err == nil {
+		return errs.Combine(ErrUnsupported, invalidConfig("route "+r.Name, "host %q has a port; routes match hosts without one", r.Host))
+	}
+	return nil
+}
--- a/pkg/config/team_test.go
+++ b/pkg/config/team_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -61,3 +62,9 @@
 	fmt.Println(config.KeyDigest("secret")[:16])
 	// Output: 2bb80d537b1da3e3
 }
+
+// Guards against a digest that is accepted and that no key has.
+func TestDigestInCapitalsIsRefused(t *testing.T) {
+	c := config.Config{Version: 1, Keyed: true, Teams: []config.Team{{Name: "a", Keys: []string{strings.ToUpper(config.KeyDigest("k"))}}}}
+	require.ErrorIs(t, c.CheckSupported(), config.ErrUnsupported)
+}
