--- a/internal/feed/withhold.go
+++ b/internal/feed/withhold.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// withheldAge is the age of the last contact with the source's leader that a child is
-	// told from which the configuration is withheld. It is above staleAge of all builds.
+	// withheldAge is the age of the last contact with the source's leader in replies to a child
+	// from which the configuration is withheld. It is above staleAge of all builds.
 	withheldAge = time.Hour
 	// withheldDelay is how long such a child waits before it asks again.
 	withheldDelay = time.Second
