--- a/review/_cases2/pipeline.go
+++ b/review/_cases2/pipeline.go
@@ -41,10 +41,10 @@
 	return 100, 10 * time.Millisecond
 }
 
-// startDeployment starts a deployment with a worker beside each daemon, and puts the routes in
-// force.
-func startDeployment(r *record, root string, slots int, respond func(w *worker, conn net.Conn, r *http.Request) bool) (*deployment, []*worker, error) {
-	d, err := newDeployment(r, root, serviceNames)
+// startDeployment starts a deployment with a daemon and a worker for each of services, and puts
+// the routes in force.
+func startDeployment(r *record, root string, services []string, slots int, respond func(w *worker, conn net.Conn, r *http.Request) bool) (*deployment, []*worker, error) {
+	d, err := newDeployment(r, root, services)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -85,11 +85,15 @@
 	}
 }
 
-// lostRequests returns how many of requests a worker ran, and how many of these had no answer
+// lostRequests returns how many of requests workers ran, and how many of these had no answer
 // when the daemon closed the connection, before the deadline of the client.
-func lostRequests(w *worker, requests []*request) (ran, lost int) {
+func lostRequests(workers []*worker, requests []*request) (ran, lost int) {
 	for _, q := range requests {
-		if w.ranTimes(q.id) == 0 {
+		runs := 0
+		for _, w := range workers {
+			runs += w.ranTimes(q.id)
+		}
+		if runs == 0 {
 			continue
 		}
 		ran++
@@ -105,7 +109,7 @@
 // the more urgent requests, and get the slots first.
 func pipelineDeadlock(r *record, root string, trouble bool) (int, error) {
 	const slots = 6
-	d, workers, err := startDeployment(r, root, slots, func(w *worker, conn net.Conn, q *http.Request) bool {
+	d, workers, err := startDeployment(r, root, serviceNames, slots, func(w *worker, conn net.Conn, q *http.Request) bool {
 		size, _ := pathNumbers(q)
 		return w.writeAnswer(conn, q, size)
 	})
@@ -168,7 +172,7 @@
 			}
 		}
 		group.Wait()
-		n, l := lostRequests(w, requests)
+		n, l := lostRequests([]*worker{w}, requests)
 		r.say("%s: requests passed on to the sound worker: %d; of these, without an answer when the daemon closed the connection: %d", w.service, n, l)
 		ran += n
 		lost += l
@@ -180,8 +184,8 @@
 	return exitHeld, nil
 }
 
-// pipelineCut: for five seconds, a worker breaks off a fiftieth of its answers, to requests that
-// clients have sent behind others that sound workers run.
+// pipelineCut: for five seconds, one of three workers of service store breaks off a fiftieth of
+// its answers, to requests that clients have sent behind others that sound workers run.
 func pipelineCut(r *record, root string, trouble bool) (int, error) {
 	const (
 		slots, clients = 9, 4
@@ -191,9 +195,17 @@
 	var mutex sync.Mutex
 	var start time.Time
 	answers, broken := 0, 0
-	d, workers, err := startDeployment(r, root, slots, func(w *worker, conn net.Conn, q *http.Request) bool {
+	// One worker of each service in each data centre.
+	var services []string
+	for range 3 {
+		services = append(services, serviceNames...)
+	}
+	services[3], services[4], services[5] = "store", "desk", "board"
+	services[6], services[7], services[8] = "desk", "board", "store"
+	faulty := "i-store-1"
+	d, workers, err := startDeployment(r, root, services, slots, func(w *worker, conn net.Conn, q *http.Request) bool {
 		size, _ := pathNumbers(q)
-		if w.service == "store" {
+		if w.id == faulty {
 			mutex.Lock()
 			cut := false
 			if since := time.Since(start); !start.IsZero() && since > before && since < before+during {
@@ -214,9 +226,8 @@
 	if err != nil {
 		return exitNotRun, err
 	}
-	// The clients of the machine beside the worker of service store.
+	// The clients of the machine beside the faulty worker.
 	address := d.address(d.daemons[1], outboundPort)
-	board, desk := workers[0], workers[2]
 	lost, ran := 0, 0
 	mutex.Lock()
 	start = time.Now()
@@ -239,19 +250,20 @@
 						continue
 					}
 				}
-				first := []*request{newRequest("/board/report/1/100", 3500), newRequest("/board/report/1/100", 3500)}
-				second := []*request{newRequest("/desk/report/1/100", 3500), newRequest("/desk/report/1/100", 3500)}
-				requests := append(append(append([]*request{}, first...), second...), newRequest("/store/look/100/10", 3500))
+				earlier := []*request{
+					newRequest("/board/report/1/100", 3500), newRequest("/board/report/1/100", 3500),
+					newRequest("/desk/report/1/100", 3500), newRequest("/desk/report/1/100", 3500),
+				}
+				requests := append(append([]*request{}, earlier...), newRequest("/store/look/100/10", 3500))
 				c.send(requests...)
 				if c.receive(requests...) != nil {
 					c.Close()
 					c = nil
 				}
-				ran1, lost1 := lostRequests(board, first)
-				ran2, lost2 := lostRequests(desk, second)
+				ran1, lost1 := lostRequests(workers, earlier)
 				mutex.Lock()
-				ran += ran1 + ran2
-				lost += lost1 + lost2
+				ran += ran1
+				lost += lost1
 				mutex.Unlock()
 			}
 			if c != nil {
